--- /dev/null
+++ b/src/libs/allocation/retry_window.cpp
@@ -0,0 +1,47 @@
+#include "allocation/retry_window.h"
+
+namespace coriandertray {
+
+namespace {
+
+constexpr int SlicesPerWindow = 20;
+// An allocator that has just taken over doesn't know what the one before it
+// spent, and both may be at work for a while.
+constexpr double SafeShare = 0.5;
+
+retry_window::slice &currentSlice(retry_window &Window,
+                                  const retry_limits &Limits, time_point Now) {
+  while (!Window.Slices.empty() &&
+         Now - Window.Slices.front().Start > Limits.Window)
+    Window.Slices.pop_front();
+  const duration Length = Limits.Window / SlicesPerWindow;
+  if (Window.Slices.empty() || Now - Window.Slices.back().Start >= Length)
+    Window.Slices.push_back({Now, 0, 0});
+  return Window.Slices.back();
+}
+
+} // namespace
+
+void noteRequest(retry_window &Window, const retry_limits &Limits,
+                 time_point Now) {
+  ++currentSlice(Window, Limits, Now).Requests;
+}
+
+bool takeRepeat(retry_window &Window, const retry_limits &Limits,
+                double ReservedShare, time_point Now) {
+  retry_window::slice &Current = currentSlice(Window, Limits, Now);
+  double Requests = 0;
+  double Repeats = 0;
+  for (const retry_window::slice &Slice : Window.Slices) {
+    Requests += Slice.Requests;
+    Repeats += Slice.Repeats;
+  }
+  const double Allowed =
+      SafeShare * Limits.Slack + Limits.Ratio * Requests * (1 - SafeShare / 4);
+  if (Repeats + 1 > Allowed * (1 - ReservedShare))
+    return false;
+  ++Current.Repeats;
+  return true;
+}
+
+} // namespace coriandertray
--- /dev/null
+++ b/src/libs/entry_host/caller_server.h
@@ -0,0 +1,52 @@
+/// \file
+/// Callers' connections: reads requests ahead, answers them in order, and
+/// notices when a caller leaves.
+#pragma once
+
+#include "entry_host/request_course.h"
+
+#include "http/http_message.h"
+#include "routing/routing_config.h"
+#include "utils/address.h"
+#include "utils/clock.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <set>
+
+namespace coriandertray {
+
+using caller_handler = std::function<asio::awaitable<http_response>(
+    http_request, std::shared_ptr<caller_presence>)>;
+
+/// All members run on the thread of the io_context.
+class caller_server {
+public:
+  caller_server(asio::io_context &Context, const clock_source &Clock,
+                caller_handler Handler);
+  ~caller_server();
+
+  /// Starts to accept. Fails with AddressMalformed when it can't bind.
+  result<void> listen(const socket_address &Address);
+
+  /// Puts \p Bounds in force, for requests that begin from now on.
+  void setBounds(const caller_bounds &Bounds);
+
+  /// From now on each connection closes after its current answers.
+  void closeAfterAnswers();
+
+  /// Closes the connections that wait for a request.
+  void closeIdle();
+
+  [[nodiscard]] std::size_t connectionCount() const;
+  [[nodiscard]] std::size_t requestsInFlight() const;
+
+private:
+  struct shared_state;
+  std::shared_ptr<shared_state> State;
+};
+
+} // namespace coriandertray
--- /dev/null
+++ b/src/libs/entry_host/entry_host.cpp
@@ -0,0 +1,213 @@
+#include "entry_host/entry_host.h"
+
+#include "utils/hash.h"
+#include "utils/log.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace coriandertray {
+
+namespace {
+
+constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+constexpr unsigned Ok = 200;
+constexpr unsigned BadRequest = 400;
+constexpr unsigned NotFound = 404;
+constexpr unsigned Unavailable = 503;
+constexpr duration UnreadyRetryAfter = milliseconds(500);
+// The balancer asks once a second and needs two misses to leave a host out.
+constexpr duration BalancerDelay = milliseconds(2800);
+constexpr duration LeavePoll = milliseconds(100);
+constexpr duration ExitMargin = milliseconds(300);
+constexpr std::uint64_t AnswerBodyLimit = 64U << 20U;
+
+http_client_limits clientLimits(const header_names &Names) {
+  http_client_limits Limits;
+  Limits.BodyBytes = AnswerBodyLimit;
+  Limits.IdleConnections = 2;
+  Limits.RequestIdHeader = Names.RequestId;
+  Limits.AcceptAnswersWithoutLength = true;
+  return Limits;
+}
+
+std::optional<std::string> onlyHost(const http_headers &Headers) {
+  const auto Count =
+      std::ranges::count_if(Headers, [](const http_header &Header) {
+        return equalIgnoringCase(Header.Name, "Host");
+      });
+  return Count == 1 ? findHeader(Headers, "Host") : std::nullopt;
+}
+
+} // namespace
+
+entry_host::entry_host(asio::io_context &Context, const clock_source &Clock,
+                       host_settings Settings, header_names Names,
+                       platform_port &Platform)
+    : Context(Context), Clock(Clock), Settings(std::move(Settings)),
+      Client(Context, clientLimits(Names)),
+      Peers(Context, Clock, this->Settings.Host),
+      Slots(Context, Clock, Peers, this->Settings.Host, this->Settings.Zone,
+            this->Settings.Retries),
+      View(Context, Clock, Platform, Peers,
+           {this->Settings.Host, this->Settings.Zone, this->Settings.Peers,
+            this->Settings.Capacity},
+           {[this](const routing_config &Config) { takeConfig(Config); },
+            [this](const std::vector<backend_registration> &Backends) {
+              Slots.setBackends(Backends);
+            }}),
+      Environment{Context, Clock, Client, Slots, Metrics, std::move(Names), {}},
+      Callers(Context, Clock,
+              [this](http_request Request,
+                     std::shared_ptr<caller_presence> Caller) {
+                return serve(std::move(Request), std::move(Caller));
+              }),
+      Readiness(Context, {},
+                [this](http_request, std::shared_ptr<peer_connection>) {
+                  return serveReadiness();
+                }),
+      Operators(Context, {},
+                [this](http_request Request, std::shared_ptr<peer_connection>) {
+                  return serveOperators(std::move(Request));
+                }) {}
+
+result<void> entry_host::start() {
+  const result<void> PeersListen =
+      Peers.start(Settings.Peers,
+                  [this](const link_pointer &Link, const envelope &Message) {
+                    if (!View.receive(Link, Message))
+                      (void)Slots.receive(Link, Message);
+                  });
+  if (!PeersListen)
+    return PeersListen;
+  const result<void> CallersListen = Callers.listen(Settings.Listen);
+  if (!CallersListen)
+    return CallersListen;
+  const result<void> ReadinessListens = Readiness.listen(Settings.Readiness);
+  if (!ReadinessListens)
+    return ReadinessListens;
+  const result<void> OperatorsListen = Operators.listen(Settings.Metrics);
+  if (!OperatorsListen)
+    return OperatorsListen;
+  logEvent(log_level::Info, "started",
+           {{"zone", Settings.Zone},
+            {"listen", toString(Settings.Listen)},
+            {"capacity_millicores", Settings.Capacity}});
+  View.start();
+  return {};
+}
+
+void entry_host::reload(const host_settings &Changed) {
+  Settings.GracePeriod = Changed.GracePeriod;
+  Settings.Retries = Changed.Retries;
+  logEvent(log_level::Info, "reloaded",
+           {{"retry_ratio", Changed.Retries.Ratio},
+            {"retry_slack", Changed.Retries.Slack}});
+}
+
+void entry_host::takeConfig(const routing_config &Config) {
+  Routes.emplace(Config, stableHash(Settings.Host, Config.Version));
+  ConfigVersion = Config.Version;
+  Callers.setBounds(Config.Bounds);
+}
+
+asio::awaitable<http_response>
+entry_host::serve(http_request Request,
+                  std::shared_ptr<caller_presence> Caller) {
+  if (!Routes || !View.isComplete())
+    co_return notRunAnswer(Unavailable, "no-configuration", UnreadyRetryAfter);
+  const std::optional<std::string> Host = onlyHost(Request.Headers);
+  if (!Host || !Request.Target.starts_with("/"))
+    co_return notRunAnswer(BadRequest, "target-malformed", {});
+  const route_rule *Route = Routes->match(*Host, Request.Target);
+  if (!Route) {
+    const bool Current = View.configIsCurrent();
+    logEvent(
+        log_level::Info, "no-route",
+        {{"request_id", findHeader(Request.Headers, Environment.Names.RequestId)
+                            .value_or("")},
+         {"config_version", ConfigVersion},
+         {"config_is_current", Current}});
+    co_return Current ? notRunAnswer(NotFound, "no-route", {})
+                      : notRunAnswer(Unavailable, "configuration-unconfirmed",
+                                     UnreadyRetryAfter);
+  }
+  course_request Course;
+  Course.Route = *Route;
+  Course.Service = Routes->nextService(*Route);
+  Course.ConfigVersion = ConfigVersion;
+  Course.Start = Clock.now();
+  Course.Message = std::move(Request);
+  co_return co_await runCourse(Environment, std::move(Course),
+                               std::move(Caller));
+}
+
+asio::awaitable<http_response> entry_host::serveReadiness() {
+  const bool Ready = !Leaving && View.isComplete();
+  co_return jsonResponse(Ready ? Ok : Unavailable,
+                         Ready ? R"({"ready":true})" : R"({"ready":false})");
+}
+
+asio::awaitable<http_response>
+entry_host::serveOperators(http_request Request) {
+  if (Request.Target == "/state")
+    co_return jsonResponse(Ok, toPrettyJson(dump()));
+  if (Request.Target != "/metrics")
+    co_return jsonResponse(NotFound, R"({"error":"not-found"})");
+  Metrics.set("coriandertray_requests_in_flight", "",
+              static_cast<double>(Callers.requestsInFlight()));
+  Metrics.set("coriandertray_caller_connections", "",
+              static_cast<double>(Callers.connectionCount()));
+  http_response Answer;
+  Answer.Headers = {{std::string(header::ContentType), "text/plain"}};
+  Answer.Body = Metrics.write();
+  co_return Answer;
+}
+
+void entry_host::leave() {
+  if (std::exchange(Leaving, true))
+    return;
+  logEvent(log_level::Info, "leaving",
+           {{"requests_in_flight", Callers.requestsInFlight()}});
+  asio::co_spawn(Context, leaveLoop(), asio::detached);
+}
+
+asio::awaitable<void> entry_host::leaveLoop() {
+  const time_point Start = Clock.now();
+  Peers.announceLeaving();
+  Callers.closeAfterAnswers();
+  asio::steady_timer Timer(Context);
+  for (;;) {
+    Timer.expires_after(LeavePoll);
+    co_await Timer.async_wait(UseTuple);
+    const duration Passed = Clock.now() - Start;
+    if (Passed >= Settings.GracePeriod - ExitMargin)
+      break;
+    if (Passed < BalancerDelay)
+      continue;
+    Callers.closeIdle();
+    if (Callers.connectionCount() == 0)
+      break;
+  }
+  logEvent(log_level::Info, "stopped",
+           {{"requests_cut", Callers.requestsInFlight()}});
+  Context.stop();
+}
+
+json::object entry_host::dump() const {
+  return {{"host", Settings.Host},
+          {"zone", Settings.Zone},
+          {"leaving", Leaving},
+          {"caller_connections", Callers.connectionCount()},
+          {"requests_in_flight", Callers.requestsInFlight()},
+          {"backend_connections_idle", Client.idleConnectionCount()},
+          {"view", View.dump()},
+          {"slots", Slots.dump()}};
+}
+
+} // namespace coriandertray
--- /dev/null
+++ b/src/libs/entry_host/entry_host.h
@@ -0,0 +1,75 @@
+/// \file
+/// The process of one entry host: callers in, backend servers out, and its
+/// duties towards the other hosts.
+#pragma once
+
+#include "entry_host/caller_server.h"
+#include "entry_host/fleet_view.h"
+#include "entry_host/header_names.h"
+#include "entry_host/host_settings.h"
+#include "entry_host/peer_network.h"
+#include "entry_host/platform_port.h"
+#include "entry_host/request_course.h"
+#include "entry_host/slot_broker.h"
+
+#include "http/http_client.h"
+#include "http/http_server.h"
+#include "metrics/metrics.h"
+#include "routing/route_index.h"
+#include "utils/json.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+#include <optional>
+
+namespace coriandertray {
+
+/// All members run on the thread of the io_context, which must outlive the
+/// object, as must \p Clock and \p Platform.
+class entry_host {
+public:
+  entry_host(asio::io_context &Context, const clock_source &Clock,
+             host_settings Settings, header_names Names,
+             platform_port &Platform);
+
+  /// Starts to serve. Fails with AddressMalformed when it can't listen.
+  result<void> start();
+
+  /// Fails readiness, serves what still comes, then stops the io_context
+  /// within the grace period. Idempotent.
+  void leave();
+
+  /// Puts changed settings in force; addresses stay until the next start.
+  void reload(const host_settings &Changed);
+
+  /// \returns the whole state, for operators.
+  [[nodiscard]] json::object dump() const;
+
+private:
+  asio::awaitable<http_response> serve(http_request Request,
+                                       std::shared_ptr<caller_presence> Caller);
+  asio::awaitable<http_response> serveReadiness();
+  asio::awaitable<http_response> serveOperators(http_request Request);
+  asio::awaitable<void> leaveLoop();
+  void takeConfig(const routing_config &Config);
+
+  asio::io_context &Context;
+  const clock_source &Clock;
+  host_settings Settings;
+  http_client Client;
+  metric_registry Metrics;
+  peer_network Peers;
+  slot_broker Slots;
+  fleet_view View;
+  course_environment Environment;
+  caller_server Callers;
+  http_server Readiness;
+  http_server Operators;
+  std::optional<route_index> Routes;
+  std::uint64_t ConfigVersion = 0;
+  bool Leaving = false;
+};
+
+} // namespace coriandertray
--- /dev/null
+++ b/src/libs/entry_host/fleet_view.h
@@ -0,0 +1,109 @@
+/// \file
+/// What this host knows of the fleet from the platform: the configuration, the
+/// backend servers and the other hosts.
+///
+/// One host, the reader, reads for all and passes on what changed. The others
+/// know how old that is; when it grows too old they ask the next one in the
+/// reader's order, and at last the platform itself.
+#pragma once
+
+#include "entry_host/peer_network.h"
+#include "entry_host/platform_port.h"
+
+#include "discovery/backend_directory.h"
+#include "routing/routing_config.h"
+#include "utils/clock.h"
+#include "utils/json.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace coriandertray {
+
+struct fleet_view_handlers {
+  std::function<void(const routing_config &)> OnConfig;
+  std::function<void(const std::vector<backend_registration> &)> OnBackends;
+};
+
+/// All members run on the thread of the io_context.
+class fleet_view {
+public:
+  fleet_view(asio::io_context &Context, const clock_source &Clock,
+             platform_port &Platform, peer_network &Peers, fleet_member Self,
+             fleet_view_handlers Handlers);
+
+  /// Reads everything once and keeps it current from then on.
+  void start();
+
+  /// Handles a message about the view. \returns whether it was one.
+  bool receive(const link_pointer &Link, const envelope &Message);
+
+  /// \returns whether a configuration is known and was lately confirmed.
+  [[nodiscard]] bool configIsCurrent() const;
+
+  [[nodiscard]] bool isComplete() const {
+    return Config.has_value() && Directory.ReadAt.has_value();
+  }
+
+  [[nodiscard]] json::object dump() const;
+
+private:
+  struct subscriber {
+    std::weak_ptr<frame_link> Link;
+    time_point HeardAt;
+    std::uint64_t DirectoryVersion = 0;
+  };
+
+  asio::awaitable<void> startUp();
+  asio::awaitable<void> registerSelf();
+  asio::awaitable<void> tickLoop();
+  asio::awaitable<void> watchConfigLoop();
+  asio::awaitable<void> readBackends();
+  asio::awaitable<void> readMembers();
+  asio::awaitable<bool> readConfig();
+  asio::awaitable<void> fetchConfigFrom(std::string Host);
+  asio::awaitable<void> removeGone();
+  void subscribe();
+  [[nodiscard]] bool isReader() const;
+  [[nodiscard]] bool mayRead() const;
+  [[nodiscard]] std::string readerHost() const;
+  void push(subscriber &To);
+  void pushAll();
+  void takeConfig(const config_document &Document);
+  void takeMembers(std::vector<fleet_member> Listed);
+  void publishBackends();
+  void noteCall(bool Answered);
+  void receivePush(const link_pointer &Link, const wire::view_push_value &Push);
+  [[nodiscard]] duration age() const;
+  [[nodiscard]] std::uint64_t contentVersion() const;
+
+  asio::io_context &Context;
+  const clock_source &Clock;
+  platform_port &Platform;
+  peer_network &Peers;
+  fleet_member Self;
+  fleet_view_handlers Handlers;
+  backend_directory Directory;
+  std::optional<routing_config> Config;
+  std::optional<config_document> Document;
+  /// When the configuration held was last known to be the newest.
+  std::optional<time_point> ConfigConfirmedAt;
+  std::map<std::string, subscriber> Subscribers;
+  std::map<std::string, time_point> AbsentSince;
+  std::uint64_t AnnouncedRevision = 0;
+  time_point ReaderSince;
+  time_point MembersReadAt;
+  bool PlatformAnswers = true;
+  bool ReadingBackends = false;
+  bool ReadingConfig = false;
+  bool Registered = false;
+};
+
+} // namespace coriandertray
--- /dev/null
+++ b/src/libs/entry_host/peer_network.cpp
@@ -0,0 +1,184 @@
+#include "entry_host/peer_network.h"
+
+#include "membership/rendezvous.h"
+#include "utils/log.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace coriandertray {
+
+namespace {
+
+constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+constexpr duration WatchInterval = milliseconds(500);
+constexpr duration ConnectTimeout = milliseconds(300);
+constexpr duration PingTimeout = milliseconds(400);
+constexpr duration LeavingMemory = seconds(10);
+// How many hosts in the order of a duty are kept at hand.
+constexpr std::size_t RankCount = 4;
+constexpr std::size_t WatchedRanks = 3;
+// A host with a smaller part of the largest capacity gets no duty.
+constexpr double LeastCapacityShare = 0.7;
+
+} // namespace
+
+peer_network::peer_network(asio::io_context &Context, const clock_source &Clock,
+                           std::string Self)
+    : Context(Context), Clock(Clock), Self(std::move(Self)) {}
+
+result<void> peer_network::start(const socket_address &Address,
+                                 message_handler OnMessage) {
+  Handler = std::move(OnMessage);
+  const result<void> Listening =
+      listenForLinks(Context, Address, [this](const link_pointer &Link) {
+        std::erase_if(Incoming, [](const std::weak_ptr<frame_link> &Known) {
+          return Known.expired();
+        });
+        Incoming.push_back(Link);
+        Link->start([this](const link_pointer &From, envelope Message) {
+          dispatch(From, Message);
+        });
+      });
+  if (Listening)
+    asio::co_spawn(Context, watchLoop(), asio::detached);
+  return Listening;
+}
+
+void peer_network::setMembers(std::vector<fleet_member> Next) {
+  if (Next == Members)
+    return;
+  Members = std::move(Next);
+  std::uint32_t Largest = 0;
+  for (const fleet_member &Member : Members)
+    Largest = std::max(Largest, Member.Capacity);
+  Eligible.clear();
+  for (const fleet_member &Member : Members)
+    if (Member.Capacity >= LeastCapacityShare * Largest)
+      Eligible.push_back(Member.Host);
+  logEvent(log_level::Info, "members-changed", {{"count", Members.size()}});
+}
+
+std::vector<std::string> peer_network::ranked(std::string_view Duty) const {
+  return ownersOf(Duty, Eligible, RankCount);
+}
+
+void peer_network::watchDuty(const std::string &Duty) { Duties.insert(Duty); }
+
+bool peer_network::isUsable(const std::string &Host) const {
+  if (Host == Self)
+    return true;
+  const auto Found = Peers.find(Host);
+  return Found != Peers.end() && Found->second.Link &&
+         Found->second.Link->isOpen() &&
+         Clock.now() >= Found->second.LeavingUntil;
+}
+
+link_pointer peer_network::linkTo(const std::string &Host) const {
+  const auto Found = Peers.find(Host);
+  return Found == Peers.end() ? nullptr : Found->second.Link;
+}
+
+bool peer_network::send(const std::string &Host, wire::messageUnion Body) {
+  const link_pointer Link = linkTo(Host);
+  if (!Link || !Link->isOpen())
+    return false;
+  envelope Message;
+  Message.body = std::move(Body);
+  Link->send(Message);
+  return true;
+}
+
+void peer_network::distrust(const std::string &Host) {
+  const auto Found = Peers.find(Host);
+  if (Found == Peers.end() || !Found->second.Link)
+    return;
+  const link_pointer Link = std::exchange(Found->second.Link, nullptr);
+  Link->close();
+  logEvent(log_level::Warning, "peer-lost", {{"peer", Host}});
+}
+
+void peer_network::noteLeaving(const std::string &Host) {
+  Peers[Host].LeavingUntil = Clock.now() + LeavingMemory;
+}
+
+void peer_network::announceLeaving() {
+  envelope Message;
+  wire::leaving_value Leaving;
+  Leaving.host = Self;
+  Message.body = makeBody(Leaving);
+  for (const std::weak_ptr<frame_link> &Known : Incoming)
+    if (const link_pointer Link = Known.lock())
+      Link->send(Message);
+}
+
+void peer_network::dispatch(const link_pointer &Link, const envelope &Message) {
+  if (Message.body.Asping()) {
+    Link->answer(Message, makeBody(wire::ping_value()));
+    return;
+  }
+  if (const wire::leaving_value *Leaving = Message.body.Asleaving()) {
+    noteLeaving(Leaving->host);
+    return;
+  }
+  Handler(Link, Message);
+}
+
+void peer_network::startLink(const link_pointer &Link,
+                             const std::string &Host) {
+  Peers[Host].Link = Link;
+  Link->start([this](const link_pointer &From, envelope Message) {
+    dispatch(From, Message);
+  });
+}
+
+asio::awaitable<void> peer_network::connectTo(fleet_member Member) {
+  Peers[Member.Host].Connecting = true;
+  const result<link_pointer> Link =
+      co_await connectLink(Context, Member.Address, ConnectTimeout);
+  Peers[Member.Host].Connecting = false;
+  if (Link)
+    startLink(*Link, Member.Host);
+}
+
+asio::awaitable<void> peer_network::pingOnce(std::string Host,
+                                             link_pointer Link) {
+  wire::messageUnion Body = makeBody(wire::ping_value());
+  const result<envelope> Answer =
+      co_await Link->request(std::move(Body), PingTimeout);
+  if (!Answer && linkTo(Host) == Link)
+    distrust(Host);
+}
+
+asio::awaitable<void> peer_network::watchLoop() {
+  asio::steady_timer Timer(Context);
+  for (;;) {
+    std::set<std::string> Wanted;
+    for (const std::string &Duty : Duties) {
+      const std::vector<std::string> Ranks = ranked(Duty);
+      const std::size_t Count = std::min(WatchedRanks, Ranks.size());
+      Wanted.insert(Ranks.begin(),
+                    Ranks.begin() + static_cast<std::ptrdiff_t>(Count));
+    }
+    Wanted.erase(Self);
+    for (const fleet_member &Member : Members) {
+      if (!Wanted.contains(Member.Host))
+        continue;
+      const peer &Peer = Peers[Member.Host];
+      if (Peer.Link && Peer.Link->isOpen())
+        asio::co_spawn(Context, pingOnce(Member.Host, Peer.Link),
+                       asio::detached);
+      else if (!Peer.Connecting)
+        asio::co_spawn(Context, connectTo(Member), asio::detached);
+    }
+    Timer.expires_after(WatchInterval);
+    co_await Timer.async_wait(UseTuple);
+  }
+}
+
+} // namespace coriandertray
--- /dev/null
+++ b/src/libs/entry_host/peer_network.h
@@ -0,0 +1,93 @@
+/// \file
+/// Links between the entry hosts, and which hosts have which duty.
+#pragma once
+
+#include "discovery/backend_registration.h"
+#include "utils/clock.h"
+#include "wire/frame_link.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace coriandertray {
+
+using link_pointer = std::shared_ptr<frame_link>;
+
+/// Keeps links to the hosts that have a duty towards this one. All members run
+/// on the thread of the io_context.
+class peer_network {
+public:
+  using message_handler =
+      std::function<void(const link_pointer &, const envelope &)>;
+
+  peer_network(asio::io_context &Context, const clock_source &Clock,
+               std::string Self);
+
+  /// Accepts links at \p Address and starts to watch those to other hosts.
+  /// Every message but pings goes to \p Handler. Fails with AddressMalformed.
+  result<void> start(const socket_address &Address, message_handler Handler);
+
+  /// Replaces the hosts known.
+  void setMembers(std::vector<fleet_member> Members);
+  [[nodiscard]] const std::vector<fleet_member> &members() const {
+    return Members;
+  }
+
+  /// \returns the hosts with the duty \p Duty, the first one that can be
+  /// reached having it; this host is one of those that can.
+  [[nodiscard]] std::vector<std::string> ranked(std::string_view Duty) const;
+
+  /// Keeps links to the hosts with \p Duty from now on.
+  void watchDuty(const std::string &Duty);
+
+  /// \returns whether \p Host is this one, or answered lately.
+  [[nodiscard]] bool isUsable(const std::string &Host) const;
+
+  /// Sends \p Body. \returns whether there is a link.
+  bool send(const std::string &Host, wire::messageUnion Body);
+
+  /// \returns the link to \p Host, or null.
+  [[nodiscard]] link_pointer linkTo(const std::string &Host) const;
+
+  /// Closes the link to \p Host, which left a message unanswered.
+  void distrust(const std::string &Host);
+
+  /// Notes that \p Host is about to stop.
+  void noteLeaving(const std::string &Host);
+
+  /// Tells all linked hosts that this one is about to stop.
+  void announceLeaving();
+
+private:
+  struct peer {
+    link_pointer Link;
+    bool Connecting = false;
+    time_point LeavingUntil;
+  };
+
+  asio::awaitable<void> watchLoop();
+  asio::awaitable<void> connectTo(fleet_member Member);
+  asio::awaitable<void> pingOnce(std::string Host, link_pointer Link);
+  void startLink(const link_pointer &Link, const std::string &Host);
+  void dispatch(const link_pointer &Link, const envelope &Message);
+
+  asio::io_context &Context;
+  const clock_source &Clock;
+  std::string Self;
+  message_handler Handler;
+  std::vector<fleet_member> Members;
+  std::vector<std::string> Eligible;
+  std::set<std::string> Duties;
+  std::map<std::string, peer> Peers;
+  std::vector<std::weak_ptr<frame_link>> Incoming;
+};
+
+} // namespace coriandertray
--- /dev/null
+++ b/src/libs/entry_host/platform_port.h
@@ -0,0 +1,61 @@
+/// \file
+/// What an entry host needs of the platform that it runs on.
+#pragma once
+
+#include "discovery/backend_registration.h"
+#include "routing/routing_config.h"
+#include "utils/clock.h"
+#include "utils/error.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace coriandertray {
+
+namespace asio = boost::asio;
+
+/// A configuration as the platform holds it.
+struct config_document {
+  std::uint64_t Revision = 0;
+  std::string Text;
+  bool operator==(const config_document &) const = default;
+};
+
+/// Implemented by the adapter. All members run on the thread of the
+/// io_context; failures are PlatformUnreachable, PlatformRefused,
+/// ObjectMissing or AnswerMalformed.
+class platform_port {
+public:
+  virtual ~platform_port() = default;
+
+  /// Reads the configuration in force.
+  virtual asio::awaitable<result<config_document>> readConfig() = 0;
+
+  /// Waits up to \p Wait for a configuration after \p Revision. \returns
+  /// nothing if there is none by then.
+  virtual asio::awaitable<result<std::optional<config_document>>>
+  awaitConfig(std::uint64_t Revision, duration Wait) = 0;
+
+  /// Decodes a configuration. Fails with AnswerMalformed.
+  [[nodiscard]] virtual result<routing_config>
+  decodeConfig(const config_document &Document) const = 0;
+
+  /// Lists the backend servers; entries that can't be read are left out.
+  virtual asio::awaitable<result<std::vector<backend_registration>>>
+  readBackends() = 0;
+
+  /// Lists the hosts of this fleet.
+  virtual asio::awaitable<result<std::vector<fleet_member>>> readMembers() = 0;
+
+  /// Adds \p Member, or puts it in the place of what its name had.
+  virtual asio::awaitable<result<void>> addMember(fleet_member Member) = 0;
+
+  /// Removes the host called \p Host.
+  virtual asio::awaitable<result<void>> removeMember(std::string Host) = 0;
+};
+
+} // namespace coriandertray
--- /dev/null
+++ b/src/libs/entry_host/slot_broker.h
@@ -0,0 +1,123 @@
+/// \file
+/// Gets slots for the requests of this host from the allocators of the
+/// services, and runs the allocators that are this host's duty.
+///
+/// The allocator of a service is the first host in the order of its duty that
+/// can be reached. A host that reaches none of the first ones allocates for
+/// itself, by what it last read, until one answers again.
+#pragma once
+
+#include "entry_host/peer_network.h"
+
+#include "allocation/service_allocation.h"
+#include "allocation/slot_messages.h"
+#include "utils/clock.h"
+#include "utils/json.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace coriandertray {
+
+/// Lets a request that waits for a slot be given up.
+struct slot_wait {
+  std::function<void()> Wake;
+  bool GivenUp = false;
+};
+
+/// Ends \p Wait early. Idempotent.
+void giveUp(slot_wait &Wait);
+
+/// A slot as it was acquired.
+struct acquired_slot {
+  slot_answer Answer;
+  std::string Allocator;
+};
+
+/// All members run on the thread of the io_context.
+class slot_broker {
+public:
+  slot_broker(asio::io_context &Context, const clock_source &Clock,
+              peer_network &Peers, std::string Self, std::string Zone,
+              retry_limits Retries);
+
+  /// Waits for a slot until the deadline of \p Request, whose key is set here.
+  /// The answer is Granted or Refused.
+  asio::awaitable<acquired_slot> acquire(std::string Service,
+                                         slot_request Request,
+                                         std::shared_ptr<slot_wait> Wait);
+
+  /// Gives the slot named \p Id back. Unknown ones are ignored.
+  void release(std::uint64_t Id, slot_outcome Outcome, duration Elapsed);
+
+  /// Replaces the backend servers of all services.
+  void setBackends(const std::vector<backend_registration> &Backends);
+
+  /// Handles a message about slots. \returns whether it was one.
+  bool receive(const link_pointer &Link, const envelope &Message);
+
+  /// \returns the state of the allocators, for operators.
+  [[nodiscard]] json::object dump() const;
+
+private:
+  struct pending_slot {
+    explicit pending_slot(asio::io_context &Context) : Turn(Context) {}
+    asio::steady_timer Turn;
+    std::string Allocator;
+    bool Acknowledged = false;
+    std::optional<slot_answer> Answer;
+  };
+  struct held_slot {
+    std::string Service;
+    std::string Allocator;
+    std::string Backend;
+    std::uint32_t Priority = 0;
+    time_point Start;
+    time_point Deadline;
+  };
+  using pending_pointer = std::shared_ptr<pending_slot>;
+
+  service_allocation &allocation(const std::string &Service);
+  asio::awaitable<void> askAllocator(const std::string &Service,
+                                     const slot_request &Request,
+                                     pending_pointer Pending,
+                                     std::shared_ptr<slot_wait> Wait);
+  void askHere(const std::string &Service, const slot_request &Request,
+               const pending_pointer &Pending);
+  void noteAllocator(const std::string &Service, const std::string &Host);
+  void endAt(const std::string &Allocator, const std::string &Service,
+             const slot_end &End);
+  void deliver(const std::string &Service, const slot_answer &Answer);
+  void serveWaiting(const std::string &Service);
+  void logBeliefs(const std::string &Service, service_allocation &State);
+  void receiveAnswer(const link_pointer &Link,
+                     const wire::slot_answer_value &Value);
+  asio::awaitable<void> turnLoop();
+  void keepTurning();
+
+  asio::io_context &Context;
+  const clock_source &Clock;
+  peer_network &Peers;
+  std::string Self;
+  std::string Zone;
+  retry_limits Retries;
+  std::map<std::string, service_allocation> Allocations;
+  std::vector<backend_registration> Backends;
+  std::map<std::uint64_t, pending_pointer> Pending;
+  std::map<std::uint64_t, held_slot> Held;
+  std::map<std::string, std::string> CurrentAllocator;
+  std::map<std::string, std::weak_ptr<frame_link>> Askers;
+  std::uint64_t NextId;
+  bool Turning = false;
+};
+
+} // namespace coriandertray
--- /dev/null
+++ b/src/libs/entry_host/slot_wire.cpp
@@ -0,0 +1,179 @@
+#include "entry_host/slot_wire.h"
+
+#include <algorithm>
+
+namespace coriandertray {
+
+namespace {
+
+std::uint32_t wireMs(duration Value) {
+  const auto Ms = std::chrono::duration_cast<milliseconds>(Value).count();
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(Ms, 0, 3'600'000));
+}
+
+} // namespace
+
+wire::slot_request_value toWire(const slot_request &Request,
+                                const std::string &Service, time_point Now) {
+  wire::slot_request_value Value;
+  Value.id = Request.Key.Id;
+  Value.host = Request.Key.Host;
+  Value.zone = Request.Zone;
+  Value.service = Service;
+  Value.idempotent = Request.Idempotent;
+  Value.priority = static_cast<std::uint8_t>(std::min(Request.Priority, 255U));
+  Value.target_ms = wireMs(Request.Target - Now);
+  Value.deadline_ms = wireMs(Request.Deadline - Now);
+  Value.repeat = static_cast<std::uint8_t>(Request.Repeat);
+  Value.tried = Request.Tried;
+  Value.unreachable = Request.Unreachable;
+  return Value;
+}
+
+slot_request fromWire(const wire::slot_request_value &Value, time_point Now) {
+  slot_request Request;
+  Request.Key = {Value.host, Value.id};
+  Request.Zone = Value.zone;
+  Request.Idempotent = Value.idempotent;
+  Request.Priority = Value.priority;
+  Request.Asked = Now;
+  Request.Target = Now + milliseconds(Value.target_ms);
+  Request.Deadline = Now + milliseconds(Value.deadline_ms);
+  Request.Repeat = static_cast<repeat_reason>(std::min<std::uint8_t>(
+      Value.repeat, static_cast<std::uint8_t>(repeat_reason::Slow)));
+  Request.Tried = Value.tried;
+  Request.Unreachable = Value.unreachable;
+  return Request;
+}
+
+wire::slot_answer_value toWire(const slot_answer &Answer) {
+  wire::slot_answer_value Value;
+  Value.id = Answer.Key.Id;
+  Value.verdict = static_cast<wire::slot_verdict>(Answer.Verdict);
+  Value.backend_server = Answer.Backend;
+  if (Answer.Verdict == slot_verdict::Granted)
+    Value.address = toString(Answer.Address);
+  Value.hedge_after_ms = wireMs(Answer.HedgeAfter);
+  Value.retry_after_ms = wireMs(Answer.RetryAfter);
+  Value.reason = Answer.Reason;
+  return Value;
+}
+
+result<slot_answer> fromWire(const wire::slot_answer_value &Value,
+                             const std::string &Self) {
+  slot_answer Answer;
+  Answer.Key = {Self, Value.id};
+  Answer.Verdict = static_cast<slot_verdict>(Value.verdict);
+  Answer.Backend = Value.backend_server;
+  if (Answer.Verdict == slot_verdict::Granted) {
+    const result<socket_address> Address = parseAddress(Value.address);
+    if (!Address)
+      return fail(error_code::FrameMalformed, "grant without an address");
+    Answer.Address = *Address;
+  }
+  Answer.HedgeAfter = milliseconds(Value.hedge_after_ms);
+  Answer.RetryAfter = milliseconds(Value.retry_after_ms);
+  Answer.Reason = Value.reason;
+  return Answer;
+}
+
+wire::slot_end_value toWire(const slot_end &End, const std::string &Service) {
+  wire::slot_end_value Value;
+  Value.id = End.Key.Id;
+  Value.host = End.Key.Host;
+  Value.service = Service;
+  Value.outcome = static_cast<std::uint8_t>(End.Outcome);
+  Value.elapsed_ms = wireMs(End.Elapsed);
+  return Value;
+}
+
+slot_end fromWire(const wire::slot_end_value &Value) {
+  slot_end End;
+  End.Key = {Value.host, Value.id};
+  End.Outcome = static_cast<slot_outcome>(std::min<std::uint8_t>(
+      Value.outcome, static_cast<std::uint8_t>(slot_outcome::NotUsed)));
+  End.Elapsed = milliseconds(Value.elapsed_ms);
+  return End;
+}
+
+wire::slot_use_value toWire(const slot_use_report &Report,
+                            const std::string &Service, time_point Now) {
+  wire::slot_use_value Value;
+  Value.id = Report.Key.Id;
+  Value.host = Report.Key.Host;
+  Value.service = Service;
+  Value.backend_server = Report.Backend;
+  Value.priority = static_cast<std::uint8_t>(std::min(Report.Priority, 255U));
+  Value.age_ms = wireMs(Now - Report.Start);
+  Value.deadline_ms = wireMs(Report.Deadline - Now);
+  return Value;
+}
+
+slot_use_report fromWire(const wire::slot_use_value &Value, time_point Now) {
+  slot_use_report Report;
+  Report.Key = {Value.host, Value.id};
+  Report.Backend = Value.backend_server;
+  Report.Priority = Value.priority;
+  Report.Start = Now - milliseconds(Value.age_ms);
+  Report.Deadline = Now + milliseconds(Value.deadline_ms);
+  return Report;
+}
+
+std::vector<std::unique_ptr<wire::backend_entry_value>>
+toWire(const std::vector<backend_registration> &Backends) {
+  std::vector<std::unique_ptr<wire::backend_entry_value>> Values;
+  for (const backend_registration &Backend : Backends) {
+    auto Value = std::make_unique<wire::backend_entry_value>();
+    Value->name = Backend.Name;
+    Value->service = Backend.Service;
+    Value->address = toString(Backend.Address);
+    Value->zone = Backend.Zone;
+    Value->slots = Backend.Slots;
+    Value->draining = Backend.Draining;
+    Value->warm_up_ms = wireMs(Backend.WarmUp);
+    Value->born_ms = Backend.BornMs;
+    Values.push_back(std::move(Value));
+  }
+  return Values;
+}
+
+std::vector<backend_registration> fromWire(
+    const std::vector<std::unique_ptr<wire::backend_entry_value>> &Values) {
+  std::vector<backend_registration> Backends;
+  for (const auto &Value : Values) {
+    const result<socket_address> Address = parseAddress(Value->address);
+    if (!Address)
+      continue;
+    Backends.push_back({Value->name, Value->service, *Address, Value->zone,
+                        std::max(1U, Value->slots), Value->draining,
+                        milliseconds(Value->warm_up_ms), Value->born_ms});
+  }
+  return Backends;
+}
+
+std::vector<std::unique_ptr<wire::member_entry_value>>
+toWire(const std::vector<fleet_member> &Members) {
+  std::vector<std::unique_ptr<wire::member_entry_value>> Values;
+  for (const fleet_member &Member : Members) {
+    auto Value = std::make_unique<wire::member_entry_value>();
+    Value->host = Member.Host;
+    Value->zone = Member.Zone;
+    Value->address = toString(Member.Address);
+    Value->capacity = Member.Capacity;
+    Values.push_back(std::move(Value));
+  }
+  return Values;
+}
+
+std::vector<fleet_member>
+fromWire(const std::vector<std::unique_ptr<wire::member_entry_value>> &Values) {
+  std::vector<fleet_member> Members;
+  for (const auto &Value : Values) {
+    const result<socket_address> Address = parseAddress(Value->address);
+    if (Address)
+      Members.push_back({Value->host, Value->zone, *Address, Value->capacity});
+  }
+  return Members;
+}
+
+} // namespace coriandertray
--- /dev/null
+++ b/src/libs/entry_host/slot_wire.h
@@ -0,0 +1,49 @@
+/// \file
+/// Between the values of the allocation and the messages on the wire. Times
+/// travel as durations from now, as hosts share no clock.
+#pragma once
+
+#include "allocation/slot_messages.h"
+#include "discovery/backend_registration.h"
+#include "utils/error.h"
+#include "wire/frame_codec.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace coriandertray {
+
+[[nodiscard]] wire::slot_request_value
+toWire(const slot_request &Request, const std::string &Service, time_point Now);
+[[nodiscard]] slot_request fromWire(const wire::slot_request_value &Value,
+                                    time_point Now);
+
+[[nodiscard]] wire::slot_answer_value toWire(const slot_answer &Answer);
+/// Fails with FrameMalformed if a grant has no address.
+[[nodiscard]] result<slot_answer> fromWire(const wire::slot_answer_value &Value,
+                                           const std::string &Self);
+
+[[nodiscard]] wire::slot_end_value toWire(const slot_end &End,
+                                          const std::string &Service);
+[[nodiscard]] slot_end fromWire(const wire::slot_end_value &Value);
+
+[[nodiscard]] wire::slot_use_value toWire(const slot_use_report &Report,
+                                          const std::string &Service,
+                                          time_point Now);
+[[nodiscard]] slot_use_report fromWire(const wire::slot_use_value &Value,
+                                       time_point Now);
+
+[[nodiscard]] std::vector<std::unique_ptr<wire::backend_entry_value>>
+toWire(const std::vector<backend_registration> &Backends);
+/// Entries with a malformed address are left out.
+[[nodiscard]] std::vector<backend_registration>
+fromWire(const std::vector<std::unique_ptr<wire::backend_entry_value>> &Values);
+
+[[nodiscard]] std::vector<std::unique_ptr<wire::member_entry_value>>
+toWire(const std::vector<fleet_member> &Members);
+/// Entries with a malformed address are left out.
+[[nodiscard]] std::vector<fleet_member>
+fromWire(const std::vector<std::unique_ptr<wire::member_entry_value>> &Values);
+
+} // namespace coriandertray
--- a/src/libs/http/http_client.cpp
+++ b/src/libs/http/http_client.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <deque>
 #include <map>
 
@@ -26,7 +27,7 @@
   beast::tcp_stream Stream;
   beast::flat_buffer Buffer;
   time_point IdleSince;
-  std::size_t BytesWritten = 0;
+  duration KeptIdleFor = duration::max();
 };
 
 using connection_pointer = std::shared_ptr<connection>;
@@ -84,12 +85,58 @@
   return AnswerBegan ? call_status::Truncated : call_status::Lost;
 }
 
+// An answer that names another request than the one sent is late: it belongs
+// to a request that was given up.
 bool isOwnAnswer(const std::optional<std::string> &SentId,
-                 const http_response &Response) {
-  const auto ReturnedId = findHeader(Response.Headers, header::RequestId);
+                 const std::string &IdHeader, const http_response &Response) {
+  const auto ReturnedId = findHeader(Response.Headers, IdHeader);
   return !SentId || !ReturnedId || *SentId == *ReturnedId;
 }
 
+bool isInterim(const http_response &Response) {
+  constexpr unsigned FirstFinalStatus = 200;
+  return Response.Status < FirstFinalStatus;
+}
+
+// How long the other side keeps an idle connection, if it says so.
+duration keepAliveTime(const http_response &Response) {
+  const std::string Text =
+      findHeader(Response.Headers, "Keep-Alive").value_or("");
+  const std::size_t At = Text.find("timeout=");
+  if (At == std::string::npos)
+    return duration::max();
+  constexpr std::size_t KeyLength = 8;
+  int Seconds = 0;
+  std::from_chars(Text.data() + At + KeyLength, Text.data() + Text.size(),
+                  Seconds);
+  return seconds(Seconds) / 2;
+}
+
+// A request on its way out, beside the reading of its answer: a server may
+// answer before it has read the whole request.
+struct outgoing_request {
+  explicit outgoing_request(http::request<http::string_body> Message)
+      : Message(std::move(Message)) {}
+  http::request<http::string_body> Message;
+  bool Done = false;
+  beast::error_code Failure;
+  std::size_t Written = 0;
+};
+
+std::shared_ptr<outgoing_request>
+startWriting(const connection_pointer &Connection,
+             http::request<http::string_body> Message) {
+  auto Outgoing = std::make_shared<outgoing_request>(std::move(Message));
+  http::async_write(
+      Connection->Stream, Outgoing->Message,
+      [Connection, Outgoing](beast::error_code Failure, std::size_t Written) {
+        Outgoing->Done = true;
+        Outgoing->Failure = Failure;
+        Outgoing->Written = Written;
+      });
+  return Outgoing;
+}
+
 } // namespace
 
 std::string_view callStatusName(call_status Status) {
@@ -138,7 +185,8 @@
       // The newest first: it is the least likely to have been closed.
       connection_pointer Connection = std::move(Pool.back());
       Pool.pop_back();
-      const bool Fresh = Now - Connection->IdleSince < MaxIdleAge;
+      const bool Fresh = Now - Connection->IdleSince <
+                         std::min(MaxIdleAge, Connection->KeptIdleFor);
       if (Fresh && isSilent(*Connection))
         return Connection;
     }
@@ -205,44 +253,59 @@
   }
   Connection->Stream.expires_at(Deadline);
   const bool IsHead = Request.Method == "HEAD";
-  const auto SentId = findHeader(Request.Headers, header::RequestId);
-  const auto Message = toMessage(std::move(Request), Address);
-  auto [WriteFailure, Written] =
-      co_await http::async_write(Connection->Stream, Message, UseTuple);
-  if (WriteFailure) {
-    Result.Status = Written == 0 ? call_status::NotSent : call_status::Lost;
-    if (WasCancelled())
-      Result.Status = call_status::Cancelled;
-    co_return Result;
-  }
-  http::response_parser<http::string_body> Parser;
-  Parser.body_limit(Client->Limits.BodyBytes);
-  Parser.header_limit(Client->Limits.HeaderBytes);
-  Parser.skip(IsHead);
-  auto [ReadFailure, ReadBytes] = co_await http::async_read(
-      Connection->Stream, Connection->Buffer, Parser, UseTuple);
-  if (ReadFailure) {
-    Result.Status = statusOfReadFailure(ReadFailure, Parser.got_some());
-    if (WasCancelled())
-      Result.Status = call_status::Cancelled;
-    co_return Result;
-  }
-  // Without a promised length, an answer cut short can't be told from a whole
-  // one.
-  const bool LengthKnown = !Parser.need_eof();
-  auto Answer = Parser.release();
-  const bool KeepAlive = Answer.keep_alive();
-  Result.Response = toResponse(std::move(Answer));
-  const bool IsOwn = isOwnAnswer(SentId, Result.Response);
-  const bool IsFinal = Result.Response.Status >= 200;
-  const bool NoSurplus = Connection->Buffer.size() == 0;
-  Result.Status = call_status::Answered;
-  if (!IsOwn || !IsFinal)
+  const auto SentId =
+      findHeader(Request.Headers, Client->Limits.RequestIdHeader);
+  const auto Outgoing =
+      startWriting(Connection, toMessage(std::move(Request), Address));
+  bool SurplusAnswers = false;
+  bool LengthKnown = true;
+  bool KeepAlive = false;
+  constexpr int MostAnswers = 8;
+  for (int Count = 0; Count < MostAnswers; ++Count) {
+    http::response_parser<http::string_body> Parser;
+    Parser.body_limit(Client->Limits.BodyBytes);
+    Parser.header_limit(Client->Limits.HeaderBytes);
+    Parser.skip(IsHead);
+    auto [ReadFailure, ReadBytes] = co_await http::async_read(
+        Connection->Stream, Connection->Buffer, Parser, UseTuple);
+    if (ReadFailure) {
+      boost::system::error_code Ignored;
+      Connection->Stream.socket().close(Ignored);
+      const bool NotSent =
+          Outgoing->Done && Outgoing->Failure && Outgoing->Written == 0;
+      Result.Status = statusOfReadFailure(ReadFailure, Parser.got_some());
+      if (NotSent)
+        Result.Status = call_status::NotSent;
+      if (WasCancelled())
+        Result.Status = call_status::Cancelled;
+      co_return Result;
+    }
+    LengthKnown = !Parser.need_eof();
+    auto Answer = Parser.release();
+    KeepAlive = Answer.keep_alive();
+    Result.Response = toResponse(std::move(Answer));
+    Result.Status = call_status::Answered;
+    if (isInterim(Result.Response))
+      continue;
+    if (isOwnAnswer(SentId, Client->Limits.RequestIdHeader, Result.Response))
+      break;
+    SurplusAnswers = true;
     Result.Status = call_status::Malformed;
-  else if (!LengthKnown)
+    if (!LengthKnown || !KeepAlive)
+      break;
+  }
+  const bool Whole = LengthKnown || Client->Limits.AcceptAnswersWithoutLength;
+  if (Result.Status == call_status::Answered && !Whole)
     Result.Status = call_status::Truncated;
-  const bool Reusable =
-      Result.Status == call_status::Answered && KeepAlive && NoSurplus;
+  const bool NoSurplus = Connection->Buffer.size() == 0 && !SurplusAnswers;
+  const bool Reusable = Result.Status == call_status::Answered && KeepAlive &&
+                        LengthKnown && NoSurplus && Outgoing->Done &&
+                        !Outgoing->Failure;
+  Connection->KeptIdleFor = keepAliveTime(Result.Response);
+  if (!Reusable) {
+    boost::system::error_code Ignored;
+    Connection->Stream.socket().close(Ignored);
+  }
   if (Canceller)
     Canceller->Close = {};
   if (Reusable && !WasCancelled())
--- /dev/null
+++ b/src/libs/routing/route_index.cpp
@@ -0,0 +1,75 @@
+#include "routing/route_index.h"
+
+#include "utils/hash.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace coriandertray {
+
+namespace {
+
+// Steps of the golden ratio spread any number of turns evenly.
+constexpr double TurnStep = 0.6180339887498949;
+
+std::string hostWithoutPort(std::string_view Host) {
+  std::string Name(Host.substr(0, Host.find(':')));
+  std::ranges::transform(Name, Name.begin(), [](char Letter) {
+    return Letter >= 'A' && Letter <= 'Z' ? static_cast<char>(Letter + 32)
+                                          : Letter;
+  });
+  return Name;
+}
+
+std::string indexKey(std::string_view Host, std::string_view Prefix) {
+  return hostWithoutPort(Host) + " " + std::string(Prefix);
+}
+
+} // namespace
+
+route_index::route_index(const routing_config &Config, std::uint64_t Seed)
+    : Config(Config) {
+  for (std::size_t Index = 0; Index < Config.Routes.size(); ++Index) {
+    const route_rule &Route = Config.Routes[Index];
+    ByHostAndPrefix.emplace(indexKey(Route.Host, Route.PathPrefix), Index);
+    constexpr double Scale = 1.0 / 4294967296.0;
+    Turns.push_back(static_cast<double>(stableHash(Route.Name, Seed) >> 32U) *
+                    Scale);
+  }
+}
+
+const route_rule *route_index::match(std::string_view Host,
+                                     std::string_view Target) const {
+  std::string_view Path = Target.substr(0, Target.find_first_of("?#"));
+  for (;;) {
+    const std::size_t Slash = Path.rfind('/');
+    if (Slash == std::string_view::npos)
+      return nullptr;
+    const std::string_view Prefix = Path.substr(0, Slash + 1);
+    const auto Found = ByHostAndPrefix.find(indexKey(Host, Prefix));
+    if (Found != ByHostAndPrefix.end())
+      return &Config.Routes[Found->second];
+    Path = Path.substr(0, Slash);
+  }
+}
+
+const std::string &route_index::nextService(const route_rule &Route) {
+  const auto Index = static_cast<std::size_t>(&Route - Config.Routes.data());
+  const std::uint64_t Total = std::accumulate(
+      Route.Services.begin(), Route.Services.end(), std::uint64_t{0},
+      [](std::uint64_t Sum, const weighted_service &Part) {
+        return Sum + Part.Weight;
+      });
+  double &Turn = Turns[Index];
+  Turn += TurnStep;
+  Turn -= static_cast<double>(static_cast<int>(Turn));
+  double Left = Turn * static_cast<double>(Total);
+  for (const weighted_service &Part : Route.Services) {
+    Left -= Part.Weight;
+    if (Left < 0)
+      return Part.Service;
+  }
+  return Route.Services.back().Service;
+}
+
+} // namespace coriandertray
--- a/src/libs/utils/log.cpp
+++ b/src/libs/utils/log.cpp
@@ -1,19 +1,22 @@
 #include "utils/log.h"
 
 #include <boost/log/core.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/make_shared.hpp>
-#include <boost/shared_ptr.hpp>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
+#include <cstdlib>
 #include <ctime>
-#include <iostream>
 #include <string>
 
+#include <poll.h>
+#include <unistd.h>
+
 namespace coriandertray {
 
 namespace {
@@ -52,20 +55,81 @@
   return std::string(Text.data(), Length) + "." + Digits + "Z";
 }
 
+// Collects lines and writes them to standard output when it takes them.
+class bounded_output
+    : public sinks::basic_formatted_sink_backend<
+          char, sinks::combine_requirements<sinks::synchronized_feeding,
+                                            sinks::flushing>::type> {
+public:
+  void consume(const boost::log::record_view &, const string_type &Line) {
+    const auto Now = std::chrono::steady_clock::now();
+    startSecond(Now);
+    if (LinesInSecond >= MostLinesPerSecond ||
+        Buffer.size() + Line.size() > MostBufferedBytes) {
+      ++Dropped;
+      return;
+    }
+    ++LinesInSecond;
+    Buffer += Line;
+    Buffer += '\n';
+    if (Buffer.size() >= ChunkBytes || Now - WrittenAt > FlushInterval)
+      flush();
+  }
+
+  void flush() {
+    WrittenAt = std::chrono::steady_clock::now();
+    std::size_t Start = 0;
+    while (Start < Buffer.size()) {
+      pollfd Output = {STDOUT_FILENO, POLLOUT, 0};
+      if (::poll(&Output, 1, 0) != 1 || (Output.revents & POLLOUT) == 0)
+        break;
+      // A pipe that polls as writable takes this many bytes without blocking.
+      const std::size_t Size = std::min(ChunkBytes, Buffer.size() - Start);
+      const auto Count = ::write(STDOUT_FILENO, Buffer.data() + Start, Size);
+      if (Count <= 0)
+        break;
+      Start += static_cast<std::size_t>(Count);
+    }
+    Buffer.erase(0, Start);
+  }
+
+private:
+  static constexpr std::size_t ChunkBytes = 4096;
+  static constexpr std::size_t MostBufferedBytes = 256U << 10U;
+  static constexpr std::size_t MostLinesPerSecond = 1000;
+  static constexpr std::chrono::milliseconds FlushInterval{200};
+
+  void startSecond(std::chrono::steady_clock::time_point Now) {
+    if (Now - SecondStart < std::chrono::seconds(1))
+      return;
+    SecondStart = Now;
+    LinesInSecond = 0;
+    if (Dropped == 0 || Buffer.size() > MostBufferedBytes / 2)
+      return;
+    Buffer += R"({"event":"log-lines-dropped","count":)" +
+              std::to_string(Dropped) + "}\n";
+    Dropped = 0;
+  }
+
+  std::string Buffer;
+  std::chrono::steady_clock::time_point WrittenAt;
+  std::chrono::steady_clock::time_point SecondStart;
+  std::size_t LinesInSecond = 0;
+  std::size_t Dropped = 0;
+};
+
 } // namespace
 
 void startLogging(std::string_view Program, std::string_view Host,
                   log_level Least) {
   identity() = {std::string(Program), std::string(Host), Least};
-  using backend = sinks::text_ostream_backend;
-  auto Backend = boost::make_shared<backend>();
-  Backend->add_stream(
-      boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream *) {}));
-  Backend->auto_flush(true);
   boost::log::core::get()->add_sink(
-      boost::make_shared<sinks::synchronous_sink<backend>>(Backend));
+      boost::make_shared<sinks::synchronous_sink<bounded_output>>());
+  std::atexit(flushLog);
 }
 
+void flushLog() { boost::log::core::get()->flush(); }
+
 log_level logLevelNamed(std::string_view Name) {
   const auto *Found = std::find(LevelNames.begin(), LevelNames.end(), Name);
   if (Found == LevelNames.end())
--- a/src/libs/utils/log.h
+++ b/src/libs/utils/log.h
@@ -1,5 +1,7 @@
 /// \file
-/// Structured logs: one JSON object a line on standard error.
+/// Structured logs: one JSON object a line on standard output. The volume is
+/// bounded and writing never blocks: what the reader doesn't take in time is
+/// dropped, counted, and reported by a line of its own.
 #pragma once
 
 #include "utils/json.h"
@@ -18,9 +20,12 @@
 /// \returns the level called \p Name, or Info.
 [[nodiscard]] log_level logLevelNamed(std::string_view Name);
 
-/// Writes one line: time, level, program, host, \p Event and \p Fields.
-/// Thread-safe.
+/// Writes one line: time, level, program, host, \p Event and \p Fields. Lines
+/// may stay in a buffer until flushLog(). Thread-safe.
 void logEvent(log_level Level, std::string_view Event,
               const json::object &Fields = {});
 
+/// Writes what is buffered, as far as that doesn't block. Thread-safe.
+void flushLog();
+
 } // namespace coriandertray
--- a/src/libs/utils/serve.cpp
+++ b/src/libs/utils/serve.cpp
@@ -16,6 +16,7 @@
     if (Failure)
       return;
     logEvent(log_level::Info, "state", Dump());
+    flushLog();
     awaitDump(Signals, Dump);
   });
 }
@@ -35,6 +36,7 @@
     awaitDump(DumpSignals, Handlers.Dump);
   }
   Context.run();
+  flushLog();
 }
 
 } // namespace coriandertray
--- a/src/libs/utils/settings.cpp
+++ b/src/libs/utils/settings.cpp
@@ -68,6 +68,24 @@
   return Number;
 }
 
+double settings_reader::optionalReal(std::string_view Key, double Default,
+                                     double Least, double Most) {
+  const json::value *Value = take(Key);
+  if (!Value)
+    return Default;
+  boost::system::error_code Failure;
+  const auto Number = Value->to_number<double>(Failure);
+  if (Failure) {
+    addFault(error_code::FieldOfWrongType, Key, "must be a number");
+    return Default;
+  }
+  if (Number < Least || Number > Most) {
+    addFault(error_code::ValueOutOfRange, Key, "is out of range");
+    return Default;
+  }
+  return Number;
+}
+
 socket_address settings_reader::requiredAddress(std::string_view Key) {
   const std::string Text = requiredText(Key);
   if (Text.empty())
--- a/src/libs/utils/settings.h
+++ b/src/libs/utils/settings.h
@@ -35,6 +35,9 @@
                                             std::int64_t Default,
                                             std::int64_t Least,
                                             std::int64_t Most);
+  /// Takes the number under \p Key in [\p Least, \p Most], or \p Default.
+  [[nodiscard]] double optionalReal(std::string_view Key, double Default,
+                                    double Least, double Most);
   /// Takes the address under \p Key; a missing one is a fault.
   [[nodiscard]] socket_address requiredAddress(std::string_view Key);
   /// Takes the addresses in the array under \p Key; absent means none.
