Host: Let views settle after an outage, and compare them

Ruled out: the watch itself, which answered. Change: ages of directory, members and configuration travel apart; a list is only as old as its last settled read; a host whose view is much older than one's own has no duty; hosts register before they read, and only the reader reads.

--- a/src/libs/discovery/backend_directory.cpp
+++ b/src/libs/discovery/backend_directory.cpp
@@ -28,11 +28,20 @@
          Listed.end();
 }
 
+bool replaceList(backend_directory &Directory,
+                 std::vector<backend_registration> Listed) {
+  std::ranges::sort(Listed, {}, &backend_registration::Name);
+  const bool Same = std::ranges::equal(Directory.Backends, Listed, sameBackend);
+  Directory.Backends = std::move(Listed);
+  if (!Same)
+    ++Directory.Version;
+  return !Same;
+}
+
 } // namespace
 
 bool takeList(backend_directory &Directory,
               std::vector<backend_registration> Listed, time_point Now) {
-  std::ranges::sort(Listed, {}, &backend_registration::Name);
   const bool AfterOutage =
       Directory.ReadAt && Now - *Directory.ReadAt > OutageAfter;
   Directory.ReadAt = Now;
@@ -49,13 +58,19 @@
   std::erase_if(Directory.Missing, [&](const auto &Entry) {
     return isListed(Listed, Entry.first) || Now >= Entry.second;
   });
+  if (Directory.Missing.empty())
+    Directory.SettledAt = Now;
   Listed.insert(Listed.end(), Kept.begin(), Kept.end());
-  std::ranges::sort(Listed, {}, &backend_registration::Name);
-  const bool Same = std::ranges::equal(Directory.Backends, Listed, sameBackend);
-  Directory.Backends = std::move(Listed);
-  if (!Same)
-    ++Directory.Version;
-  return !Same;
+  return replaceList(Directory, std::move(Listed));
+}
+
+bool takeSettledList(backend_directory &Directory,
+                     std::vector<backend_registration> Listed,
+                     time_point SettledAt) {
+  Directory.ReadAt = std::max(Directory.ReadAt.value_or(SettledAt), SettledAt);
+  Directory.SettledAt = SettledAt;
+  Directory.Missing.clear();
+  return replaceList(Directory, std::move(Listed));
 }
 
 } // namespace coriandertray
--- a/src/libs/discovery/backend_directory.h
+++ b/src/libs/discovery/backend_directory.h
@@ -19,6 +19,8 @@
   /// they are taken for gone.
   std::map<std::string, time_point> Missing;
   std::optional<time_point> ReadAt;
+  /// The last read after which no entry was awaited back: how old the list is.
+  std::optional<time_point> SettledAt;
   /// Grows with each change of Backends.
   std::uint64_t Version = 0;
 };
@@ -30,4 +32,10 @@
 bool takeList(backend_directory &Directory,
               std::vector<backend_registration> Listed, time_point Now);
 
+/// Replaces the list by that of another host, settled at \p SettledAt.
+/// \returns whether the backends changed.
+bool takeSettledList(backend_directory &Directory,
+                     std::vector<backend_registration> Listed,
+                     time_point SettledAt);
+
 } // namespace coriandertray
--- a/src/libs/entry_host/fleet_view.cpp
+++ b/src/libs/entry_host/fleet_view.cpp
@@ -20,20 +20,42 @@
 constexpr std::string_view ReaderDuty = "reader";
 // How often the reader lists the backend servers, and tells the others.
 constexpr duration ReadInterval = milliseconds(450);
-constexpr duration ConfigWait = milliseconds(2000);
+// How often a host looks whether what it knows has grown old.
+constexpr duration TickInterval = milliseconds(150);
+constexpr duration SubscribeInterval = milliseconds(900);
+// How long a watch of the configuration waits; it confirms that there is none
+// newer.
+constexpr duration ConfigWait = milliseconds(700);
 constexpr duration RetryPause = milliseconds(300);
+constexpr duration RegisterPause = milliseconds(400);
 // A view older than this makes a host look for another reader; one older than
 // the next makes it read itself.
-constexpr duration StaleAfter = milliseconds(800);
+constexpr duration StaleAfter = milliseconds(1000);
 constexpr duration ReadSelfAfter = milliseconds(1300);
+// A host that was asked for a newer view than it had reads for this long.
+constexpr duration DeputyTime = milliseconds(2000);
 // A missing route is only reported by a host whose configuration was confirmed
 // within this time.
 constexpr duration ConfirmedFor = milliseconds(2500);
 constexpr duration MembersInterval = seconds(4);
+constexpr duration MembersIntervalAtStart = seconds(1);
+constexpr duration ReregisterPause = seconds(1);
+constexpr duration MembersSettleTime = seconds(4);
 constexpr duration SubscriberMemory = seconds(3);
+// The age of what was never read.
+constexpr duration LongAgo = seconds(3600);
 // A host that the reader hasn't heard from for so long is removed.
 constexpr duration RemoveAfter = seconds(20);
 
+template <typename T> std::optional<error> failureOf(const result<T> &Result) {
+  return Result ? std::nullopt : std::optional<error>(Result.error());
+}
+
+std::uint32_t wireMs(duration Age) {
+  return static_cast<std::uint32_t>(
+      std::chrono::duration_cast<milliseconds>(Age).count());
+}
+
 } // namespace
 
 fleet_view::fleet_view(asio::io_context &Context, const clock_source &Clock,
@@ -43,61 +65,60 @@
       Self(std::move(Self)), Handlers(std::move(Handlers)) {}
 
 void fleet_view::start() {
+  StartedAt = Clock.now();
+  Peers.compareViews([this] { return age(); });
   Peers.watchDuty(std::string(ReaderDuty));
-  Peers.setMembers({Self});
-  asio::co_spawn(Context, startUp(), asio::detached);
-}
-
-asio::awaitable<void> fleet_view::startUp() {
-  asio::co_spawn(Context, readBackends(), asio::detached);
   asio::co_spawn(Context, registerSelf(), asio::detached);
-  asio::steady_timer Timer(Context);
-  while (!Config) {
-    const bool Read = co_await readConfig();
-    if (Read)
-      break;
-    Timer.expires_after(RetryPause);
-    co_await Timer.async_wait(UseTuple);
-  }
   asio::co_spawn(Context, tickLoop(), asio::detached);
   asio::co_spawn(Context, watchConfigLoop(), asio::detached);
 }
 
+// Hosts that start together register together: only a second look shows all.
 asio::awaitable<void> fleet_view::registerSelf() {
+  if (std::exchange(Registering, true))
+    co_return;
   asio::steady_timer Timer(Context);
-  while (!Registered) {
-    co_await readMembers();
-    const std::vector<fleet_member> &Known = Peers.members();
-    const bool Listed =
-        Registered && std::ranges::find(Known, Self) != Known.end();
-    if (Listed)
-      co_return;
+  co_await readMembers();
+  if (!Registered) {
     const result<void> Added = co_await Platform.addMember(Self);
-    noteCall(Added.has_value());
-    Registered = Added.has_value();
-    if (Registered)
-      co_return;
-    Timer.expires_after(RetryPause);
+    noteCall(failureOf(Added));
+    Timer.expires_after(RegisterPause);
     co_await Timer.async_wait(UseTuple);
+    co_await readMembers();
   }
+  Registering = false;
 }
 
-void fleet_view::noteCall(bool Answered) {
+void fleet_view::noteCall(const std::optional<error> &Failure) {
+  // What is missing was answered for.
+  const bool Answered = !Failure || Failure->Code == error_code::ObjectMissing;
   if (Answered == PlatformAnswers)
     return;
   PlatformAnswers = Answered;
   logEvent(Answered ? log_level::Info : log_level::Warning,
            Answered ? "dependency-regained" : "dependency-lost",
-           {{"dependency", "platform"}});
+           {{"dependency", "platform"},
+            {"detail", Failure ? toString(*Failure) : ""}});
+}
+
+duration fleet_view::directoryAge() const {
+  return Clock.now() - Directory.SettledAt.value_or(StartedAt);
+}
+
+duration fleet_view::configAge() const {
+  return Clock.now() - ConfigConfirmedAt.value_or(StartedAt);
+}
+
+duration fleet_view::membersAge() const {
+  return MembersReadAt ? Clock.now() - *MembersReadAt : LongAgo;
 }
 
 duration fleet_view::age() const {
-  return Directory.ReadAt ? Clock.now() - *Directory.ReadAt : seconds(3600);
+  return std::max(directoryAge(), configAge());
 }
 
 bool fleet_view::configIsCurrent() const {
-  return Config && ConfigConfirmedAt &&
-         Clock.now() - *ConfigConfirmedAt < ConfirmedFor;
+  return ConfigConfirmedAt && configAge() < ConfirmedFor;
 }
 
 std::string fleet_view::readerHost() const {
@@ -107,7 +128,9 @@
   return Self.Host;
 }
 
-bool fleet_view::isReader() const { return readerHost() == Self.Host; }
+bool fleet_view::isReader() const {
+  return MembersReadAt && readerHost() == Self.Host;
+}
 
 bool fleet_view::mayRead() const { return isReader() || age() > ReadSelfAfter; }
 
@@ -137,10 +160,11 @@
   if (std::exchange(ReadingBackends, true))
     co_return;
   const time_point Asked = Clock.now();
+  BackendsAskedAt = Asked;
   const result<std::vector<backend_registration>> Listed =
       co_await Platform.readBackends();
   ReadingBackends = false;
-  noteCall(Listed.has_value());
+  noteCall(failureOf(Listed));
   if (!Listed)
     co_return;
   if (takeList(Directory, *Listed, Asked))
@@ -149,7 +173,6 @@
 }
 
 void fleet_view::takeMembers(std::vector<fleet_member> Listed) {
-  std::ranges::sort(Listed);
   Registered = std::ranges::find(Listed, Self) != Listed.end();
   if (!Registered)
     Listed.push_back(Self);
@@ -158,15 +181,18 @@
 }
 
 asio::awaitable<void> fleet_view::readMembers() {
-  MembersReadAt = Clock.now();
+  const time_point Asked = Clock.now();
+  MembersAskedAt = Asked;
   result<std::vector<fleet_member>> Listed = co_await Platform.readMembers();
-  noteCall(Listed.has_value());
-  if (Listed)
-    takeMembers(std::move(*Listed));
+  noteCall(failureOf(Listed));
+  if (!Listed)
+    co_return;
+  MembersReadAt = Asked;
+  takeMembers(std::move(*Listed));
 }
 
-void fleet_view::takeConfig(const config_document &Next) {
-  ConfigConfirmedAt = Clock.now();
+void fleet_view::takeConfig(const config_document &Next, time_point ReadAt) {
+  ConfigConfirmedAt = std::max(ReadAt, ConfigConfirmedAt.value_or(ReadAt));
   if (Document && Next.Revision <= Document->Revision)
     return;
   const result<routing_config> Decoded = Platform.decodeConfig(Next);
@@ -194,12 +220,13 @@
 asio::awaitable<bool> fleet_view::readConfig() {
   if (std::exchange(ReadingConfig, true))
     co_return false;
+  const time_point Asked = Clock.now();
   const result<config_document> Read = co_await Platform.readConfig();
   ReadingConfig = false;
-  noteCall(Read.has_value());
+  noteCall(failureOf(Read));
   if (!Read)
     co_return false;
-  takeConfig(*Read);
+  takeConfig(*Read, Asked);
   co_return Config.has_value();
 }
 
@@ -207,23 +234,27 @@
   asio::steady_timer Timer(Context);
   for (;;) {
     if (!mayRead()) {
-      Timer.expires_after(ReadInterval);
+      Timer.expires_after(TickInterval);
       co_await Timer.async_wait(UseTuple);
       continue;
     }
     const std::uint64_t Revision = Document ? Document->Revision : 0;
+    const time_point Asked = Clock.now();
     const result<std::optional<config_document>> Next =
         co_await Platform.awaitConfig(Revision, ConfigWait);
-    noteCall(Next.has_value());
+    noteCall(failureOf(Next));
     if (!Next) {
+      const bool Read = co_await readConfig();
+      if (Read)
+        continue;
       Timer.expires_after(RetryPause);
       co_await Timer.async_wait(UseTuple);
-      (void)co_await readConfig();
       continue;
     }
-    ConfigConfirmedAt = Clock.now();
     if (*Next)
-      takeConfig(**Next);
+      takeConfig(**Next, Asked);
+    else
+      ConfigConfirmedAt = std::max(Asked, ConfigConfirmedAt.value_or(Asked));
   }
 }
 
@@ -240,13 +271,12 @@
   const wire::config_document_value *Value =
       Answer ? Answer->body.Asconfig_document() : nullptr;
   if (Value)
-    takeConfig({Value->revision, Value->text});
+    takeConfig({Value->revision, Value->text}, Clock.now());
 }
 
 void fleet_view::subscribe() {
+  SubscribedAt = Clock.now();
   const std::string Reader = readerHost();
-  if (Reader == Self.Host)
-    return;
   wire::view_subscribe_value Value;
   Value.host = Self.Host;
   Value.directory_version = contentVersion();
@@ -282,43 +312,50 @@
     AbsentSince.erase(Host);
     logEvent(log_level::Info, "member-removed", {{"member", Host}});
     const result<void> Removed = co_await Platform.removeMember(Host);
-    noteCall(Removed.has_value());
+    noteCall(failureOf(Removed));
   }
 }
 
 asio::awaitable<void> fleet_view::tickLoop() {
   asio::steady_timer Timer(Context);
-  std::uint64_t Tick = 0;
   for (;;) {
     flushLog();
-    if (mayRead()) {
+    const time_point Now = Clock.now();
+    const bool Reader = isReader();
+    if (mayRead() && Now - BackendsAskedAt >= ReadInterval)
       asio::co_spawn(Context, readBackends(), asio::detached);
-      if (isReader() && Clock.now() - MembersReadAt > MembersInterval)
-        asio::co_spawn(Context, readMembers(), asio::detached);
-      if (isReader() && Clock.now() - ReaderSince > RemoveAfter)
-        asio::co_spawn(Context, removeGone(), asio::detached);
-    }
-    if (!isReader()) {
-      ReaderSince = Clock.now();
-      AbsentSince.clear();
-      if (Tick % 2 == 0 || age() > StaleAfter)
-        subscribe();
-    }
-    if (!Registered)
+    if (Reader)
+      lookAfterMembers();
+    else
+      ReaderSince = Now;
+    const duration Pause = age() > StaleAfter ? RetryPause : SubscribeInterval;
+    if (!Reader && Now - SubscribedAt >= Pause)
+      subscribe();
+    if (!Registered && !Registering && Now - MembersAskedAt >= ReregisterPause)
       asio::co_spawn(Context, registerSelf(), asio::detached);
-    ++Tick;
-    Timer.expires_after(ReadInterval);
+    Timer.expires_after(TickInterval);
     co_await Timer.async_wait(UseTuple);
   }
 }
 
+void fleet_view::lookAfterMembers() {
+  const time_point Now = Clock.now();
+  const bool Settled = Now - ReaderSince > MembersSettleTime;
+  const duration Interval = Settled ? MembersInterval : MembersIntervalAtStart;
+  if (Now - MembersAskedAt >= Interval)
+    asio::co_spawn(Context, readMembers(), asio::detached);
+  if (Now - ReaderSince > RemoveAfter)
+    asio::co_spawn(Context, removeGone(), asio::detached);
+}
+
 void fleet_view::push(subscriber &To) {
   const link_pointer Link = To.Link.lock();
   if (!Link || !Link->isOpen())
     return;
   wire::view_push_value Push;
-  Push.age_ms = static_cast<std::uint32_t>(
-      std::chrono::duration_cast<milliseconds>(age()).count());
+  Push.age_ms = wireMs(directoryAge());
+  Push.members_age_ms = wireMs(membersAge());
+  Push.config_age_ms = wireMs(configAge());
   Push.config_revision = Document ? Document->Revision : 0;
   Push.directory_version = contentVersion();
   Push.has_lists = Push.directory_version != To.DirectoryVersion;
@@ -337,7 +374,7 @@
   std::erase_if(Subscribers, [Now](const auto &Entry) {
     return Now - Entry.second.HeardAt > SubscriberMemory;
   });
-  if (!Directory.ReadAt)
+  if (!Directory.SettledAt)
     return;
   for (auto &[Host, Subscriber] : Subscribers)
     push(Subscriber);
@@ -345,21 +382,26 @@
 
 void fleet_view::receivePush(const link_pointer &Link,
                              const wire::view_push_value &Push) {
-  const time_point ReadAt = Clock.now() - milliseconds(Push.age_ms);
-  const bool Newer = !Directory.ReadAt || ReadAt > *Directory.ReadAt;
-  if (!Newer)
-    return;
-  Directory.ReadAt = ReadAt;
-  if (Push.has_lists) {
-    const std::vector<backend_registration> Before = Directory.Backends;
-    Directory.Backends = fromWire(Push.backends);
-    takeMembers(fromWire(Push.members));
-    if (Before != Directory.Backends)
+  const time_point Now = Clock.now();
+  const time_point ReadAt = Now - milliseconds(Push.age_ms);
+  const time_point MembersAt = Now - milliseconds(Push.members_age_ms);
+  const time_point ConfigAt = Now - milliseconds(Push.config_age_ms);
+  const bool Newer = !Directory.SettledAt || ReadAt > *Directory.SettledAt;
+  if (Newer && Push.has_lists) {
+    if (takeSettledList(Directory, fromWire(Push.backends), ReadAt))
       publishBackends();
+  } else if (Newer && Push.directory_version == contentVersion()) {
+    Directory.SettledAt = ReadAt;
+  }
+  if (Push.has_lists && MembersAt > MembersReadAt.value_or(time_point())) {
+    MembersReadAt = MembersAt;
+    takeMembers(fromWire(Push.members));
   }
   const std::uint64_t Held = Document ? Document->Revision : 0;
   if (Push.config_revision <= Held) {
-    ConfigConfirmedAt = std::max(ConfigConfirmedAt.value_or(ReadAt), ReadAt);
+    if (Push.config_revision == Held)
+      ConfigConfirmedAt =
+          std::max(ConfigConfirmedAt.value_or(ConfigAt), ConfigAt);
     return;
   }
   AnnouncedRevision = Push.config_revision;
@@ -376,11 +418,10 @@
     Known.Link = Link;
     Known.HeardAt = Clock.now();
     Known.DirectoryVersion = Value->directory_version;
-    if (Directory.ReadAt &&
-        (age() <= StaleAfter || Known.DirectoryVersion != contentVersion()))
+    if (Directory.SettledAt)
       push(Known);
     if (age() > StaleAfter)
-      asio::co_spawn(Context, readBackends(), asio::detached);
+      DeputyUntil = Clock.now() + DeputyTime;
     return true;
   }
   if (const auto *Value = Message.body.Asview_push()) {
--- a/src/libs/entry_host/fleet_view.h
+++ b/src/libs/entry_host/fleet_view.h
@@ -61,7 +61,6 @@
     std::uint64_t DirectoryVersion = 0;
   };
 
-  asio::awaitable<void> startUp();
   asio::awaitable<void> registerSelf();
   asio::awaitable<void> tickLoop();
   asio::awaitable<void> watchConfigLoop();
@@ -76,11 +75,15 @@
   [[nodiscard]] std::string readerHost() const;
   void push(subscriber &To);
   void pushAll();
-  void takeConfig(const config_document &Document);
+  void takeConfig(const config_document &Document, time_point ReadAt);
+  void lookAfterMembers();
   void takeMembers(std::vector<fleet_member> Listed);
   void publishBackends();
-  void noteCall(bool Answered);
+  void noteCall(const std::optional<error> &Failure);
   void receivePush(const link_pointer &Link, const wire::view_push_value &Push);
+  [[nodiscard]] duration directoryAge() const;
+  [[nodiscard]] duration configAge() const;
+  [[nodiscard]] duration membersAge() const;
   [[nodiscard]] duration age() const;
   [[nodiscard]] std::uint64_t contentVersion() const;
 
@@ -99,11 +102,18 @@
   std::map<std::string, time_point> AbsentSince;
   std::uint64_t AnnouncedRevision = 0;
   time_point ReaderSince;
-  time_point MembersReadAt;
+  time_point StartedAt;
+  time_point MembersAskedAt;
+  time_point BackendsAskedAt;
+  time_point SubscribedAt;
+  /// Until when this host reads because others asked it to.
+  time_point DeputyUntil;
+  std::optional<time_point> MembersReadAt;
   bool PlatformAnswers = true;
   bool ReadingBackends = false;
   bool ReadingConfig = false;
   bool Registered = false;
+  bool Registering = false;
 };
 
 } // namespace coriandertray
--- a/src/libs/entry_host/peer_network.cpp
+++ b/src/libs/entry_host/peer_network.cpp
@@ -25,6 +25,17 @@
 constexpr std::size_t WatchedRanks = 3;
 // A host with a smaller part of the largest capacity gets no duty.
 constexpr double LeastCapacityShare = 0.7;
+// A host whose view is older than this one's by more is cut off from what
+// matters.
+constexpr duration ViewAgeSlack = milliseconds(1500);
+
+wire::ping_value makePing(const std::function<duration()> &ViewAge) {
+  wire::ping_value Ping;
+  if (ViewAge)
+    Ping.view_age_ms = static_cast<std::uint32_t>(
+        std::chrono::duration_cast<milliseconds>(ViewAge()).count());
+  return Ping;
+}
 
 } // namespace
 
@@ -62,6 +73,7 @@
     if (Member.Capacity >= LeastCapacityShare * Largest)
       Eligible.push_back(Member.Host);
   logEvent(log_level::Info, "members-changed", {{"count", Members.size()}});
+  watchOnce();
 }
 
 std::vector<std::string> peer_network::ranked(std::string_view Duty) const {
@@ -74,9 +86,17 @@
   if (Host == Self)
     return true;
   const auto Found = Peers.find(Host);
-  return Found != Peers.end() && Found->second.Link &&
-         Found->second.Link->isOpen() &&
-         Clock.now() >= Found->second.LeavingUntil;
+  if (Found == Peers.end())
+    return false;
+  const peer &Peer = Found->second;
+  const bool Reachable =
+      Peer.Link && Peer.Link->isOpen() && Clock.now() >= Peer.LeavingUntil;
+  const duration Own = OwnViewAge ? OwnViewAge() : duration::zero();
+  return Reachable && Peer.ViewAge <= Own + ViewAgeSlack;
+}
+
+void peer_network::compareViews(std::function<duration()> ViewAge) {
+  OwnViewAge = std::move(ViewAge);
 }
 
 link_pointer peer_network::linkTo(const std::string &Host) const {
@@ -119,7 +139,7 @@
 
 void peer_network::dispatch(const link_pointer &Link, const envelope &Message) {
   if (Message.body.Asping()) {
-    Link->answer(Message, makeBody(wire::ping_value()));
+    Link->answer(Message, makeBody(makePing(OwnViewAge)));
     return;
   }
   if (const wire::leaving_value *Leaving = Message.body.Asleaving()) {
@@ -132,6 +152,7 @@
 void peer_network::startLink(const link_pointer &Link,
                              const std::string &Host) {
   Peers[Host].Link = Link;
+  Peers[Host].ViewAge = duration::zero();
   Link->start([this](const link_pointer &From, envelope Message) {
     dispatch(From, Message);
   });
@@ -142,40 +163,48 @@
   const result<link_pointer> Link =
       co_await connectLink(Context, Member.Address, ConnectTimeout);
   Peers[Member.Host].Connecting = false;
-  if (Link)
-    startLink(*Link, Member.Host);
+  if (!Link)
+    co_return;
+  startLink(*Link, Member.Host);
+  co_await pingOnce(Member.Host, *Link);
 }
 
 asio::awaitable<void> peer_network::pingOnce(std::string Host,
                                              link_pointer Link) {
-  wire::messageUnion Body = makeBody(wire::ping_value());
+  wire::messageUnion Body = makeBody(makePing(OwnViewAge));
   const result<envelope> Answer =
       co_await Link->request(std::move(Body), PingTimeout);
   if (!Answer && linkTo(Host) == Link)
     distrust(Host);
+  const wire::ping_value *Pong = Answer ? Answer->body.Asping() : nullptr;
+  if (Pong)
+    Peers[Host].ViewAge = milliseconds(Pong->view_age_ms);
+}
+
+void peer_network::watchOnce() {
+  std::set<std::string> Wanted;
+  for (const std::string &Duty : Duties) {
+    const std::vector<std::string> Ranks = ranked(Duty);
+    const std::size_t Count = std::min(WatchedRanks, Ranks.size());
+    Wanted.insert(Ranks.begin(),
+                  Ranks.begin() + static_cast<std::ptrdiff_t>(Count));
+  }
+  Wanted.erase(Self);
+  for (const fleet_member &Member : Members) {
+    if (!Wanted.contains(Member.Host))
+      continue;
+    const peer &Peer = Peers[Member.Host];
+    if (Peer.Link && Peer.Link->isOpen())
+      asio::co_spawn(Context, pingOnce(Member.Host, Peer.Link), asio::detached);
+    else if (!Peer.Connecting)
+      asio::co_spawn(Context, connectTo(Member), asio::detached);
+  }
 }
 
 asio::awaitable<void> peer_network::watchLoop() {
   asio::steady_timer Timer(Context);
   for (;;) {
-    std::set<std::string> Wanted;
-    for (const std::string &Duty : Duties) {
-      const std::vector<std::string> Ranks = ranked(Duty);
-      const std::size_t Count = std::min(WatchedRanks, Ranks.size());
-      Wanted.insert(Ranks.begin(),
-                    Ranks.begin() + static_cast<std::ptrdiff_t>(Count));
-    }
-    Wanted.erase(Self);
-    for (const fleet_member &Member : Members) {
-      if (!Wanted.contains(Member.Host))
-        continue;
-      const peer &Peer = Peers[Member.Host];
-      if (Peer.Link && Peer.Link->isOpen())
-        asio::co_spawn(Context, pingOnce(Member.Host, Peer.Link),
-                       asio::detached);
-      else if (!Peer.Connecting)
-        asio::co_spawn(Context, connectTo(Member), asio::detached);
-    }
+    watchOnce();
     Timer.expires_after(WatchInterval);
     co_await Timer.async_wait(UseTuple);
   }
--- a/src/libs/entry_host/peer_network.h
+++ b/src/libs/entry_host/peer_network.h
@@ -35,6 +35,10 @@
   /// Every message but pings goes to \p Handler. Fails with AddressMalformed.
   result<void> start(const socket_address &Address, message_handler Handler);
 
+  /// Asks \p ViewAge how old this host's view of the platform is. A host whose
+  /// view is much older has no duty towards this one.
+  void compareViews(std::function<duration()> ViewAge);
+
   /// Replaces the hosts known.
   void setMembers(std::vector<fleet_member> Members);
   [[nodiscard]] const std::vector<fleet_member> &members() const {
@@ -71,9 +75,11 @@
     link_pointer Link;
     bool Connecting = false;
     time_point LeavingUntil;
+    duration ViewAge{0};
   };
 
   asio::awaitable<void> watchLoop();
+  void watchOnce();
   asio::awaitable<void> connectTo(fleet_member Member);
   asio::awaitable<void> pingOnce(std::string Host, link_pointer Link);
   void startLink(const link_pointer &Link, const std::string &Host);
@@ -83,6 +89,7 @@
   const clock_source &Clock;
   std::string Self;
   message_handler Handler;
+  std::function<duration()> OwnViewAge;
   std::vector<fleet_member> Members;
   std::vector<std::string> Eligible;
   std::set<std::string> Duties;
