Host: Keep the ages of calm operation below staleness

Cause: between two reads of the reader the configuration's age reached 1.5 s, so that all hosts read the platform themselves (100 calls each in 60 s, counted by a scratch log line).

--- a/src/libs/entry_host/fleet_view.cpp
+++ b/src/libs/entry_host/fleet_view.cpp
@@ -19,19 +19,19 @@
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::string_view ReaderDuty = "reader";
 // How often the reader lists the backend servers, and tells the others.
-constexpr duration ReadInterval = milliseconds(450);
+constexpr duration ReadInterval = milliseconds(400);
 // How often a host looks whether what it knows has grown old.
 constexpr duration TickInterval = milliseconds(150);
 constexpr duration SubscribeInterval = milliseconds(900);
 // How long a watch of the configuration waits; it confirms that there is none
 // newer.
-constexpr duration ConfigWait = milliseconds(700);
+constexpr duration ConfigWait = milliseconds(500);
 constexpr duration RetryPause = milliseconds(300);
 constexpr duration RegisterPause = milliseconds(400);
 // A view older than this makes a host look for another reader; one older than
 // the next makes it read itself.
-constexpr duration StaleAfter = milliseconds(1000);
-constexpr duration ReadSelfAfter = milliseconds(1300);
+constexpr duration StaleAfter = milliseconds(1200);
+constexpr duration ReadSelfAfter = milliseconds(1500);
 // A host that was asked for a newer view than it had reads for this long.
 constexpr duration DeputyTime = milliseconds(2000);
 // A missing route is only reported by a host whose configuration was confirmed
@@ -191,8 +191,12 @@
   takeMembers(std::move(*Listed));
 }
 
+void fleet_view::confirmConfig(time_point At) {
+  ConfigConfirmedAt = std::max(At, ConfigConfirmedAt.value_or(At));
+}
+
 void fleet_view::takeConfig(const config_document &Next, time_point ReadAt) {
-  ConfigConfirmedAt = std::max(ReadAt, ConfigConfirmedAt.value_or(ReadAt));
+  confirmConfig(ReadAt);
   if (Document && Next.Revision <= Document->Revision)
     return;
   const result<routing_config> Decoded = Platform.decodeConfig(Next);
@@ -254,7 +258,7 @@
     if (*Next)
       takeConfig(**Next, Asked);
     else
-      ConfigConfirmedAt = std::max(Asked, ConfigConfirmedAt.value_or(Asked));
+      confirmConfig(std::min(Asked + ConfigWait, Clock.now()));
   }
 }
 
@@ -400,8 +404,7 @@
   const std::uint64_t Held = Document ? Document->Revision : 0;
   if (Push.config_revision <= Held) {
     if (Push.config_revision == Held)
-      ConfigConfirmedAt =
-          std::max(ConfigConfirmedAt.value_or(ConfigAt), ConfigAt);
+      confirmConfig(ConfigAt);
     return;
   }
   AnnouncedRevision = Push.config_revision;
--- a/src/libs/entry_host/fleet_view.h
+++ b/src/libs/entry_host/fleet_view.h
@@ -76,6 +76,7 @@
   void push(subscriber &To);
   void pushAll();
   void takeConfig(const config_document &Document, time_point ReadAt);
+  void confirmConfig(time_point At);
   void lookAfterMembers();
   void takeMembers(std::vector<fleet_member> Listed);
   void publishBackends();
