--- a/src/libs/entry_host/fleet_view.cpp
+++ b/src/libs/entry_host/fleet_view.cpp
@@ -68,11 +68,23 @@
   StartedAt = Clock.now();
   Peers.compareViews([this] { return age(); });
   Peers.watchDuty(std::string(ReaderDuty));
+  // All hosts may have started at once: nobody else can be asked yet.
+  asio::co_spawn(Context, readBackends(), asio::detached);
+  asio::co_spawn(Context, readFirstConfig(), asio::detached);
   asio::co_spawn(Context, registerSelf(), asio::detached);
   asio::co_spawn(Context, tickLoop(), asio::detached);
   asio::co_spawn(Context, watchConfigLoop(), asio::detached);
 }
 
+asio::awaitable<void> fleet_view::readFirstConfig() {
+  asio::steady_timer Timer(Context);
+  while (!Config) {
+    (void)co_await readConfig();
+    Timer.expires_after(RetryPause);
+    co_await Timer.async_wait(UseTuple);
+  }
+}
+
 // Hosts that start together register together: only a second look shows all.
 asio::awaitable<void> fleet_view::registerSelf() {
   if (std::exchange(Registering, true))
--- a/src/libs/entry_host/fleet_view.h
+++ b/src/libs/entry_host/fleet_view.h
@@ -61,6 +61,7 @@
     std::uint64_t DirectoryVersion = 0;
   };
 
+  asio::awaitable<void> readFirstConfig();
   asio::awaitable<void> registerSelf();
   asio::awaitable<void> tickLoop();
   asio::awaitable<void> watchConfigLoop();
