--- a/src/libs/allocation/service_allocation.cpp
+++ b/src/libs/allocation/service_allocation.cpp
@@ -190,7 +190,8 @@
 slot_answer grant(service_allocation &State, backend_record &Backend,
                   const slot_request &Request, time_point Now) {
   Backend.Uses.push_back(
-      {Request.Key, Request.Priority, Now, Request.Deadline});
+      {Request.Key, Request.Priority, Now, Request.Deadline,
+       Backend.AwaitsFirstUse});
   Backend.LastGranted = Now;
   Backend.AwaitsFirstUse = false;
   slot_answer Answer;
@@ -271,6 +272,15 @@
   });
 }
 
+// The first request of a server that joined did not arrive there.
+void awaitFirstUseAgain(backend_record &Backend, const slot_use &Use,
+                        time_point Now) {
+  if (!Use.IsFirst)
+    return;
+  Backend.AwaitsFirstUse = true;
+  Backend.JoinedAt = std::max(Backend.JoinedAt, Now - JoinPatience);
+}
+
 void noteOutcome(service_allocation &State, backend_record &Backend,
                  const slot_use &Use, const slot_end &End, time_point Now) {
   const double Usual = usualLogOdds(State);
@@ -294,6 +304,7 @@
     return;
   case slot_outcome::Unreachable:
     addEvidence(Backend.Belief, evidence_weight::Unreachable, Usual, Now);
+    awaitFirstUseAgain(Backend, Use, Now);
     return;
   case slot_outcome::Full:
     Backend.FullStreak = std::min(Backend.FullStreak + 1, MostFullStreak);
@@ -304,6 +315,7 @@
     Backend.Misdirected = true;
     return;
   case slot_outcome::NotUsed:
+    awaitFirstUseAgain(Backend, Use, Now);
     return;
   }
 }
@@ -410,7 +422,7 @@
   std::vector<slot_use> &Uses = Found->second.Uses;
   if (std::ranges::find(Uses, Report.Key, &slot_use::Key) == Uses.end())
     Uses.push_back(
-        {Report.Key, Report.Priority, Report.Start, Report.Deadline});
+        {Report.Key, Report.Priority, Report.Start, Report.Deadline, false});
 }
 
 std::vector<slot_answer> advance(service_allocation &State, time_point Now) {
--- a/src/libs/allocation/service_allocation.h
+++ b/src/libs/allocation/service_allocation.h
@@ -31,6 +31,8 @@
   std::uint32_t Priority = 0;
   time_point Start;
   time_point Deadline;
+  /// Whether it is the first one of a server that joined.
+  bool IsFirst = false;
   bool operator==(const slot_use &) const = default;
 };
 
--- a/src/libs/entry_host/request_course.cpp
+++ b/src/libs/entry_host/request_course.cpp
@@ -294,6 +294,8 @@
     Options.MaxIdleAge = Request.Route.Idempotent ? IdleAge : FreshIdleAge;
     Attempt->Sent = true;
     Attempt->SentAt = now();
+    // When to hedge is known from now on.
+    Signal.cancel();
     http_request Message = makeMessage(*Attempt);
     call_result Result = co_await Environment.Client.call(
         Attempt->Slot.Address, std::move(Message), Options, Attempt->Canceller);
