--- a/src/libs/allocation/service_allocation.cpp
+++ b/src/libs/allocation/service_allocation.cpp
@@ -24,7 +24,7 @@
 // A request takes a place of this cost at once; the bound rises while it waits
 // until it takes any place at this part of its time to the target.
 constexpr double CostAtOnce = 0.12;
-constexpr double TakesAnyAfter = 0.3;
+constexpr double TakesAnyAfter = 0.35;
 constexpr double HedgeProbability = 0.35;
 constexpr double HedgeQuantile = 0.9;
 constexpr double HedgeReserve = 0.3;
@@ -42,6 +42,8 @@
 constexpr double CoverageBonus = 1.0;
 // A use whose end nobody told of is forgotten so long after its deadline.
 constexpr duration OrphanAge = milliseconds(1500);
+// Kinds of work remembered for one service.
+constexpr std::size_t MostProfiles = 512;
 constexpr double LateAdmission = 0.5;
 constexpr duration LeastRetryAfter = milliseconds(100);
 
@@ -49,21 +51,18 @@
   return std::ranges::find(Names, Name) != Names.end();
 }
 
-work_profile &profileOf(service_allocation &State, std::uint32_t Priority,
-                        duration Target) {
-  const auto Found = State.Profiles.find(Priority);
+work_profile &profileOf(service_allocation &State,
+                        const slot_request &Request) {
+  const auto Found = State.Profiles.find(Request.Work);
   if (Found != State.Profiles.end())
     return Found->second;
-  return State.Profiles.emplace(Priority, makeWorkProfile(Target))
+  if (State.Profiles.size() >= MostProfiles)
+    State.Profiles.clear();
+  return State.Profiles
+      .emplace(Request.Work, makeWorkProfile(Request.Target - Request.Asked))
       .first->second;
 }
 
-const work_profile *findProfile(const service_allocation &State,
-                                std::uint32_t Priority) {
-  const auto Found = State.Profiles.find(Priority);
-  return Found == State.Profiles.end() ? nullptr : &Found->second;
-}
-
 bool takesWork(const backend_record &Backend) {
   return !Backend.Registration.Draining && !Backend.Misdirected;
 }
@@ -84,8 +83,8 @@
 
 double survivalOf(const service_allocation &State, const slot_use &Use,
                   duration Age) {
-  const work_profile *Profile = findProfile(State, Use.Priority);
-  return Profile ? survivalAt(*Profile, Age) : 1;
+  const auto Profile = State.Profiles.find(Use.Work);
+  return Profile == State.Profiles.end() ? 1 : survivalAt(Profile->second, Age);
 }
 
 double probabilityAt(const service_allocation &State,
@@ -184,14 +183,15 @@
   const double Time =
       std::max(1.0, toMilliseconds(Request.Target - Request.Asked));
   const double Waited = toMilliseconds(Now - Request.Asked) / Time;
-  return CostAtOnce + Waited / TakesAnyAfter;
+  // Slowly at first: a slot of a proven server falls free soon.
+  const double Part = std::max(0.0, Waited) / TakesAnyAfter;
+  return CostAtOnce + Part * Part;
 }
 
 slot_answer grant(service_allocation &State, backend_record &Backend,
                   const slot_request &Request, time_point Now) {
-  Backend.Uses.push_back(
-      {Request.Key, Request.Priority, Now, Request.Deadline,
-       Backend.AwaitsFirstUse});
+  Backend.Uses.push_back({Request.Key, Request.Work, Now, Request.Deadline,
+                          Backend.AwaitsFirstUse});
   Backend.LastGranted = Now;
   Backend.AwaitsFirstUse = false;
   slot_answer Answer;
@@ -199,9 +199,7 @@
   Answer.Verdict = slot_verdict::Granted;
   Answer.Backend = Backend.Registration.Name;
   Answer.Address = Backend.Registration.Address;
-  Answer.HedgeAfter = workQuantile(
-      profileOf(State, Request.Priority, Request.Target - Request.Asked),
-      HedgeQuantile);
+  Answer.HedgeAfter = workQuantile(profileOf(State, Request), HedgeQuantile);
   return Answer;
 }
 
@@ -227,8 +225,7 @@
       State.Waiting, [&Request](const slot_request &Other) {
         return Other.Priority <= Request.Priority;
       });
-  const duration Work = medianWork(
-      profileOf(State, Request.Priority, Request.Target - Request.Asked));
+  const duration Work = medianWork(profileOf(State, Request));
   constexpr double MeanOverMedian = 1.3;
   const double Turns =
       static_cast<double>(Ahead + 1) / std::max(1.0, Slots) * MeanOverMedian;
@@ -289,7 +286,7 @@
   case slot_outcome::Succeeded:
     Backend.FullStreak = 0;
     addEvidence(Backend.Belief, successWeight(Survival), Usual, Now);
-    if (const auto Found = State.Profiles.find(Use.Priority);
+    if (const auto Found = State.Profiles.find(Use.Work);
         Found != State.Profiles.end())
       noteWork(Found->second, End.Elapsed, Now);
     noteEnd(State, true, Now);
@@ -373,7 +370,7 @@
 slot_answer askSlot(service_allocation &State, const slot_request &Request,
                     time_point Now) {
   forgetOrphans(State, Now);
-  (void)profileOf(State, Request.Priority, Request.Target - Request.Asked);
+  (void)profileOf(State, Request);
   if (Request.Repeat == repeat_reason::Slow)
     return askHedge(State, Request, Now);
   if (Request.Repeat == repeat_reason::None)
@@ -388,8 +385,7 @@
     if (std::optional<slot_answer> Granted = tryGrant(State, Request, Now))
       return *Granted;
   const duration Wait = expectedWait(State, Request, Now);
-  const duration Work = medianWork(
-      profileOf(State, Request.Priority, Request.Target - Request.Asked));
+  const duration Work = medianWork(profileOf(State, Request));
   if (Now + Wait + Work > latestEnd(Request)) {
     noteEnd(State, false, Now);
     return refusal(Request, "overloaded", Wait);
@@ -422,7 +418,7 @@
   std::vector<slot_use> &Uses = Found->second.Uses;
   if (std::ranges::find(Uses, Report.Key, &slot_use::Key) == Uses.end())
     Uses.push_back(
-        {Report.Key, Report.Priority, Report.Start, Report.Deadline, false});
+        {Report.Key, Report.Work, Report.Start, Report.Deadline, false});
 }
 
 std::vector<slot_answer> advance(service_allocation &State, time_point Now) {
@@ -433,8 +429,7 @@
   std::ranges::stable_sort(State.Waiting, comesBefore);
   std::vector<slot_request> Left;
   for (slot_request &Request : State.Waiting) {
-    const duration Work = medianWork(
-        profileOf(State, Request.Priority, Request.Target - Request.Asked));
+    const duration Work = medianWork(profileOf(State, Request));
     if (Now + Work > Request.Deadline) {
       noteEnd(State, false, Now);
       Answers.push_back(refusal(Request, "deadline", {}));
--- a/src/libs/allocation/service_allocation.h
+++ b/src/libs/allocation/service_allocation.h
@@ -28,7 +28,7 @@
 /// One request at a backend server.
 struct slot_use {
   slot_key Key;
-  std::uint32_t Priority = 0;
+  std::string Work;
   time_point Start;
   time_point Deadline;
   /// Whether it is the first one of a server that joined.
@@ -68,8 +68,8 @@
 struct service_allocation {
   std::map<std::string, backend_record> Backends;
   std::vector<slot_request> Waiting;
-  /// By priority: kinds of request with different durations.
-  std::map<std::uint32_t, work_profile> Profiles;
+  /// By kind of work.
+  std::map<std::string, work_profile> Profiles;
   retry_limits Retries;
   retry_window RetryWindow;
   /// Ends of requests in the last seconds: when, and whether served.
--- a/src/libs/allocation/slot_messages.h
+++ b/src/libs/allocation/slot_messages.h
@@ -31,6 +31,8 @@
 struct slot_request {
   slot_key Key;
   std::string Zone;
+  /// Names the kind of work; requests of one kind take about equally long.
+  std::string Work;
   bool Idempotent = false;
   /// Zero is the most urgent.
   std::uint32_t Priority = 0;
@@ -86,7 +88,7 @@
 struct slot_use_report {
   slot_key Key;
   std::string Backend;
-  std::uint32_t Priority = 0;
+  std::string Work;
   time_point Start;
   time_point Deadline;
   bool operator==(const slot_use_report &) const = default;
--- a/src/libs/entry_host/request_course.cpp
+++ b/src/libs/entry_host/request_course.cpp
@@ -243,6 +243,7 @@
 
   [[nodiscard]] slot_request slotRequest(const attempt &Attempt) {
     slot_request Wanted;
+    Wanted.Work = Request.Route.Name;
     Wanted.Idempotent = Request.Route.Idempotent;
     Wanted.Priority = Request.Route.Priority;
     Wanted.Target = Request.Start + Request.Route.TargetLatency;
--- a/src/libs/entry_host/slot_broker.cpp
+++ b/src/libs/entry_host/slot_broker.cpp
@@ -91,7 +91,7 @@
     if (Slot.Service != Service || Slot.Allocator == Host)
       continue;
     const slot_use_report Report = {
-        {Self, Id}, Slot.Backend, Slot.Priority, Slot.Start, Slot.Deadline};
+        {Self, Id}, Slot.Backend, Slot.Work, Slot.Start, Slot.Deadline};
     if (Host == Self)
       adoptUse(allocation(Service), Report, Now);
     else
@@ -179,8 +179,8 @@
   if (Mine->Answer) {
     Slot.Answer = *Mine->Answer;
     if (Slot.Answer.Verdict == slot_verdict::Granted)
-      Held[Id] = {Service,          Mine->Allocator, Slot.Answer.Backend,
-                  Request.Priority, Clock.now(),     Request.Deadline};
+      Held[Id] = {Service,      Mine->Allocator, Slot.Answer.Backend,
+                  Request.Work, Clock.now(),     Request.Deadline};
     co_return Slot;
   }
   endAt(Mine->Allocator, Service, {Request.Key, slot_outcome::NotUsed, {}});
--- a/src/libs/entry_host/slot_broker.h
+++ b/src/libs/entry_host/slot_broker.h
@@ -80,7 +80,7 @@
     std::string Service;
     std::string Allocator;
     std::string Backend;
-    std::uint32_t Priority = 0;
+    std::string Work;
     time_point Start;
     time_point Deadline;
   };
--- a/src/libs/entry_host/slot_wire.cpp
+++ b/src/libs/entry_host/slot_wire.cpp
@@ -20,6 +20,7 @@
   Value.host = Request.Key.Host;
   Value.zone = Request.Zone;
   Value.service = Service;
+  Value.work = Request.Work;
   Value.idempotent = Request.Idempotent;
   Value.priority = static_cast<std::uint8_t>(std::min(Request.Priority, 255U));
   Value.target_ms = wireMs(Request.Target - Now);
@@ -34,6 +35,7 @@
   slot_request Request;
   Request.Key = {Value.host, Value.id};
   Request.Zone = Value.zone;
+  Request.Work = Value.work;
   Request.Idempotent = Value.idempotent;
   Request.Priority = Value.priority;
   Request.Asked = Now;
@@ -103,7 +105,7 @@
   Value.host = Report.Key.Host;
   Value.service = Service;
   Value.backend_server = Report.Backend;
-  Value.priority = static_cast<std::uint8_t>(std::min(Report.Priority, 255U));
+  Value.work = Report.Work;
   Value.age_ms = wireMs(Now - Report.Start);
   Value.deadline_ms = wireMs(Report.Deadline - Now);
   return Value;
@@ -113,7 +115,7 @@
   slot_use_report Report;
   Report.Key = {Value.host, Value.id};
   Report.Backend = Value.backend_server;
-  Report.Priority = Value.priority;
+  Report.Work = Value.work;
   Report.Start = Now - milliseconds(Value.age_ms);
   Report.Deadline = Now + milliseconds(Value.deadline_ms);
   return Report;
