--- a/src/libs/entry_host/entry_host.cpp
+++ b/src/libs/entry_host/entry_host.cpp
@@ -24,7 +24,7 @@
 // The balancer asks once a second and needs two misses to leave a host out.
 constexpr duration BalancerDelay = milliseconds(2800);
 constexpr duration LeavePoll = milliseconds(100);
-constexpr duration ExitMargin = milliseconds(300);
+constexpr duration ExitMargin = milliseconds(600);
 constexpr std::uint64_t AnswerBodyLimit = 64U << 20U;
 
 http_client_limits clientLimits(const header_names &Names) {
--- a/src/libs/entry_host/fleet_view.cpp
+++ b/src/libs/entry_host/fleet_view.cpp
@@ -27,6 +27,8 @@
 // newer.
 constexpr duration ConfigWait = milliseconds(500);
 constexpr duration RetryPause = milliseconds(300);
+// While the platform doesn't answer, only the reader asks often.
+constexpr duration OutagePause = milliseconds(1500);
 constexpr duration RegisterPause = milliseconds(400);
 // A view older than this makes a host look for another reader; one older than
 // the next makes it read itself.
@@ -168,6 +170,10 @@
                                             &backend_registration::Draining)}});
 }
 
+duration fleet_view::readPause() const {
+  return PlatformAnswers || isReader() ? ReadInterval : OutagePause;
+}
+
 asio::awaitable<void> fleet_view::readBackends() {
   if (std::exchange(ReadingBackends, true))
     co_return;
@@ -260,10 +266,12 @@
         co_await Platform.awaitConfig(Revision, ConfigWait);
     noteCall(failureOf(Next));
     if (!Next) {
-      const bool Read = co_await readConfig();
-      if (Read)
+      // A watch can be cut off, or its history be gone, while reads go on.
+      const bool MayAnswer =
+          Next.error().Code != error_code::PlatformUnreachable;
+      if (MayAnswer && co_await readConfig())
         continue;
-      Timer.expires_after(RetryPause);
+      Timer.expires_after(readPause());
       co_await Timer.async_wait(UseTuple);
       continue;
     }
@@ -338,7 +346,7 @@
     flushLog();
     const time_point Now = Clock.now();
     const bool Reader = isReader();
-    if (mayRead() && Now - BackendsAskedAt >= ReadInterval)
+    if (mayRead() && Now - BackendsAskedAt >= readPause())
       asio::co_spawn(Context, readBackends(), asio::detached);
     if (Reader)
       lookAfterMembers();
--- a/src/libs/entry_host/fleet_view.h
+++ b/src/libs/entry_host/fleet_view.h
@@ -83,6 +83,7 @@
   void publishBackends();
   void noteCall(const std::optional<error> &Failure);
   void receivePush(const link_pointer &Link, const wire::view_push_value &Push);
+  [[nodiscard]] duration readPause() const;
   [[nodiscard]] duration directoryAge() const;
   [[nodiscard]] duration configAge() const;
   [[nodiscard]] duration membersAge() const;
