--- /dev/null
+++ b/tests/auto/platform/store_stand_in.h
@@ -0,0 +1,171 @@
+/// \file
+/// A stand-in for the platform's object store that speaks its protocol, with
+/// faults on demand.
+#pragma once
+
+#include "http/http_server.h"
+#include "utils/json.h"
+#include "utils/query.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <string>
+
+namespace coriandertray::testing {
+
+struct store_faults {
+  bool Down = false;
+  bool Refuses = false;
+  /// Writes are done and not answered.
+  bool LosesAnswers = false;
+  bool HistoryGone = false;
+  bool WatchesHearNothing = false;
+};
+
+class store_stand_in {
+public:
+  explicit store_stand_in(asio::io_context &Context)
+      : Context(Context),
+        Server(Context, {},
+               [this](http_request Request, std::shared_ptr<peer_connection>) {
+                 return serve(std::move(Request));
+               }) {}
+
+  result<void> listen(const socket_address &Address) {
+    return Server.listen(Address);
+  }
+  void abort() { Server.abort(); }
+
+  /// Writes an object as the operator or a backend server does.
+  void put(const std::string &Kind, const std::string &Name,
+           json::value Specification) {
+    ++Revision;
+    const json::object Object = {
+        {"metadata", json::object{{"name", Name}, {"revision", Revision}}},
+        {"specification", std::move(Specification)},
+        {"status", nullptr}};
+    Objects[Kind][Name] = Object;
+    Events.push_back({Revision, Kind, Object, false});
+  }
+
+  [[nodiscard]] bool holds(const std::string &Kind, const std::string &Name) {
+    return Objects[Kind].contains(Name);
+  }
+
+  store_faults Faults;
+  std::size_t PageSize = 500;
+  int Calls = 0;
+
+private:
+  struct event {
+    std::uint64_t Revision;
+    std::string Kind;
+    json::object Object;
+    bool Deleted;
+  };
+
+  static http_response closed() {
+    http_response Response;
+    Response.RawBytes = "";
+    return Response;
+  }
+
+  asio::awaitable<http_response> serve(http_request Request) {
+    ++Calls;
+    if (Faults.Down)
+      co_return closed();
+    if (Faults.Refuses)
+      co_return jsonResponse(503, "{}");
+    const parsed_target Target = parseTarget(Request.Target);
+    constexpr std::string_view Prefix = "/objects/";
+    if (!Target.Path.starts_with(Prefix))
+      co_return jsonResponse(404, "{}");
+    const std::string Path = Target.Path.substr(Prefix.size());
+    const std::size_t Slash = Path.find('/');
+    const std::string Kind = Path.substr(0, Slash);
+    const std::string Name =
+        Slash == std::string::npos ? "" : Path.substr(Slash + 1);
+    if (Request.Method == "GET" && Target.Query.contains("watch"))
+      co_return co_await watch(Kind, Target);
+    if (Request.Method == "GET")
+      co_return list(Kind, Target);
+    http_response Answer = write(Request, Kind, Name);
+    co_return Faults.LosesAnswers ? closed() : Answer;
+  }
+
+  http_response list(const std::string &Kind, const parsed_target &Target) {
+    const auto After = Target.Query.find("after");
+    json::array Items;
+    bool More = false;
+    for (const auto &[Name, Object] : Objects[Kind]) {
+      if (After != Target.Query.end() && Name <= After->second)
+        continue;
+      if (Items.size() == PageSize) {
+        More = true;
+        break;
+      }
+      Items.push_back(Object);
+    }
+    return jsonResponse(
+        200,
+        json::serialize(json::object{
+            {"items", std::move(Items)}, {"more", More}, {"as_of", Revision}}));
+  }
+
+  asio::awaitable<http_response> watch(std::string Kind, parsed_target Target) {
+    if (Faults.HistoryGone)
+      co_return jsonResponse(410, "{}");
+    const auto From =
+        static_cast<std::uint64_t>(queryNumber(Target, "watch", 0));
+    auto Left = queryNumber(Target, "wait_ms", 0);
+    constexpr int StepMs = 2;
+    for (; Left > 0; Left -= StepMs) {
+      json::array Found;
+      for (const event &Event : Events)
+        if (Event.Kind == Kind && Event.Revision > From)
+          Found.push_back(json::object{{"deleted", Event.Deleted},
+                                       {"object", Event.Object}});
+      if (!Found.empty() && !Faults.WatchesHearNothing)
+        co_return jsonResponse(
+            200, json::serialize(json::object{{"events", std::move(Found)},
+                                              {"as_of", Revision}}));
+      asio::steady_timer Timer(Context, milliseconds(StepMs));
+      co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    co_return jsonResponse(
+        200, json::serialize(
+                 json::object{{"events", json::array{}}, {"as_of", Revision}}));
+  }
+
+  http_response write(const http_request &Request, const std::string &Kind,
+                      const std::string &Name) {
+    if (Request.Method == "DELETE")
+      return Objects[Kind].erase(Name) > 0 ? jsonResponse(200, "{}")
+                                           : jsonResponse(404, "{}");
+    const json::object Body = json::parse(Request.Body).get_object();
+    const bool Creates = Request.Method == "POST";
+    const std::string Target =
+        Creates ? std::string(Body.at("metadata").at("name").as_string())
+                : Name;
+    const bool Exists = Objects[Kind].contains(Target);
+    if (Creates && Exists)
+      return jsonResponse(409, json::serialize(Objects[Kind][Target]));
+    if (!Creates && !Exists)
+      return jsonResponse(404, "{}");
+    put(Kind, Target, Body.at("specification"));
+    return jsonResponse(200, json::serialize(Objects[Kind][Target]));
+  }
+
+  asio::io_context &Context;
+  std::map<std::string, std::map<std::string, json::object>> Objects;
+  std::deque<event> Events;
+  std::uint64_t Revision = 100;
+  http_server Server;
+};
+
+} // namespace coriandertray::testing
--- /dev/null
+++ b/tests/auto/platform/tst_decoding.cpp
@@ -0,0 +1,121 @@
+#include "decoding.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace coriandertray;
+using namespace coriandertray::platform;
+
+namespace {
+
+json::value parse(std::string_view Text) { return json::parse(Text); }
+
+constexpr std::string_view ConfigText = R"({
+  "version": 7, "later": 1,
+  "services": [{"name": "one", "health_check_path": "/health",
+                "max_connections": 330}],
+  "limits": {"max_header_bytes": 16384, "max_body_bytes": 1000,
+             "header_timeout": "3000ms", "idle_timeout": "2.5s"},
+  "virtual_hosts": [{"host": "a.example", "path_rules": [
+    {"name": "split", "path_prefix": "/x/", "kind": "safe",
+     "timeout": "1500ms", "target_latency": "1s", "priority": 2,
+     "max_attempts": 2, "traffic_split": [{"service": "one", "weight": 90},
+                                          {"service": "two", "weight": 10}]},
+    {"name": "plain", "path_prefix": "/y/", "kind": "unsafe",
+     "timeout": "2s", "service": "one"}]}]})";
+
+constexpr std::string_view BackendText = R"({
+  "metadata": {"name": "i-1", "revision": 4},
+  "specification": {"service": "one", "address": "10.0.0.1:80", "zone": "a",
+    "slots": 3, "state": "ready", "warmup_remaining": "500ms",
+    "sequence": 4, "born": 1700000000000}})";
+
+/// Replaces one value somewhere in \p Value by one of another kind.
+void spoil(json::value &Value, std::uint32_t Choice) {
+  static const std::vector<json::value> Strange = {
+      nullptr, -1, 3.5, "text", json::array{1}, json::object{{"a", 1}}, true};
+  json::value *Place = &Value;
+  for (int Depth = 0; Depth < 4; ++Depth) {
+    if (Place->is_object() && !Place->get_object().empty()) {
+      auto Entry = Place->get_object().begin();
+      std::advance(Entry, Choice % Place->get_object().size());
+      Place = &Entry->value();
+    } else if (Place->is_array() && !Place->get_array().empty()) {
+      Place = &Place->get_array()[Choice % Place->get_array().size()];
+    }
+    Choice /= 3;
+    if (Choice % 5 == 0)
+      break;
+  }
+  *Place = Strange[Choice % Strange.size()];
+}
+
+} // namespace
+
+TEST_CASE("durations carry their unit") {
+  CHECK(decodeDuration("1500ms") == milliseconds(1500));
+  CHECK(decodeDuration("2.5s") == milliseconds(2500));
+  for (const char *Text : {"", "5", "ms", "5 s", "5m", "-1s", "1e30s", "nan s"})
+    CHECK_MESSAGE(!decodeDuration(Text), Text);
+}
+
+TEST_CASE("a configuration is decoded with its splits and bounds") {
+  const auto Config = platform::decodeConfig(parse(ConfigText));
+  REQUIRE(Config);
+  CHECK(Config->Version == 7);
+  CHECK(Config->Bounds.IdleTimeout == milliseconds(2500));
+  REQUIRE(Config->Routes.size() == 2);
+  CHECK(Config->Routes[0].Idempotent);
+  CHECK(Config->Routes[0].Services ==
+        std::vector<weighted_service>{{"one", 90}, {"two", 10}});
+  CHECK_FALSE(Config->Routes[1].Idempotent);
+  CHECK(Config->Routes[1].MaxAttempts == 1);
+  CHECK(Config->Services[0].ConnectionLimit == 330);
+}
+
+TEST_CASE("a backend server's entry is decoded") {
+  const auto Backend = decodeBackend(parse(BackendText));
+  REQUIRE(Backend);
+  CHECK(Backend->Name == "i-1");
+  CHECK((Backend->Address == socket_address{"10.0.0.1", 80}));
+  CHECK(Backend->BornMs == 1700000000000);
+  CHECK(Backend->WarmUp == milliseconds(500));
+  CHECK_FALSE(Backend->Draining);
+}
+
+TEST_CASE("entries of other writers are errors, not guesses") {
+  for (const char *Key : {"service", "address", "zone", "slots", "state"}) {
+    json::value Entry = parse(BackendText);
+    Entry.at("specification").get_object().erase(Key);
+    CHECK_MESSAGE(!decodeBackend(Entry), Key);
+    Entry.at("specification").get_object()[Key] = json::array{};
+    CHECK_MESSAGE(!decodeBackend(Entry), Key);
+  }
+  json::value Unknown = parse(BackendText);
+  Unknown.at("specification").at("state") = "sleeping";
+  CHECK_FALSE(decodeBackend(Unknown));
+  CHECK_FALSE(decodeBackend(json::value("bytes")));
+}
+
+TEST_CASE("spoiled documents never crash the decoders") {
+  rc::check("decoding gives a value or a typed error", [] {
+    json::value Config = parse(ConfigText);
+    json::value Backend = parse(BackendText);
+    const auto Times = *rc::gen::inRange(1, 4);
+    for (int Time = 0; Time < Times; ++Time) {
+      spoil(Config, *rc::gen::arbitrary<std::uint32_t>());
+      spoil(Backend, *rc::gen::arbitrary<std::uint32_t>());
+    }
+    const auto DecodedConfig = platform::decodeConfig(Config);
+    const auto DecodedBackend = decodeBackend(Backend);
+    if (!DecodedConfig)
+      RC_ASSERT(DecodedConfig.error().Code == error_code::AnswerMalformed);
+    if (!DecodedBackend)
+      RC_ASSERT(DecodedBackend.error().Code == error_code::AnswerMalformed);
+  });
+}
+
+TEST_CASE("a host's entry survives being stored") {
+  const fleet_member Member = {"host-1", "a", {"10.0.0.7", 7540}, 200};
+  CHECK(decodeMember(encodeMember(Member)) == Member);
+}
