Host: Remember revisions that could not be put in force

Cause, found by the new test of an older configuration: a refused revision was asked for again at once, without pause, for ever. Change: the watch continues after the newest revision seen.

--- a/src/libs/entry_host/fleet_view.cpp
+++ b/src/libs/entry_host/fleet_view.cpp
@@ -215,8 +215,9 @@
 
 void fleet_view::takeConfig(const config_document &Next, time_point ReadAt) {
   confirmConfig(ReadAt);
-  if (Document && Next.Revision <= Document->Revision)
+  if (Next.Revision <= SeenRevision)
     return;
+  SeenRevision = Next.Revision;
   const result<routing_config> Decoded = Platform.decodeConfig(Next);
   if (!Decoded) {
     logEvent(
@@ -260,10 +261,9 @@
       co_await Timer.async_wait(UseTuple);
       continue;
     }
-    const std::uint64_t Revision = Document ? Document->Revision : 0;
     const time_point Asked = Clock.now();
     const result<std::optional<config_document>> Next =
-        co_await Platform.awaitConfig(Revision, ConfigWait);
+        co_await Platform.awaitConfig(SeenRevision, ConfigWait);
     noteCall(failureOf(Next));
     if (!Next) {
       // A watch can be cut off, or its history be gone, while reads go on.
@@ -284,7 +284,7 @@
 
 asio::awaitable<void> fleet_view::fetchConfigFrom(std::string Host) {
   const bool Read = co_await readConfig();
-  if (Read && Document->Revision >= AnnouncedRevision)
+  if (Read && SeenRevision >= AnnouncedRevision)
     co_return;
   const link_pointer Link = Peers.linkTo(Host);
   if (!Link)
@@ -380,7 +380,7 @@
   Push.age_ms = wireMs(directoryAge());
   Push.members_age_ms = wireMs(membersAge());
   Push.config_age_ms = wireMs(configAge());
-  Push.config_revision = Document ? Document->Revision : 0;
+  Push.config_revision = SeenRevision;
   Push.directory_version = contentVersion();
   Push.has_lists = Push.directory_version != To.DirectoryVersion;
   if (Push.has_lists) {
@@ -421,9 +421,8 @@
     MembersReadAt = MembersAt;
     takeMembers(fromWire(Push.members));
   }
-  const std::uint64_t Held = Document ? Document->Revision : 0;
-  if (Push.config_revision <= Held) {
-    if (Push.config_revision == Held)
+  if (Push.config_revision <= SeenRevision) {
+    if (Push.config_revision == SeenRevision)
       confirmConfig(ConfigAt);
     return;
   }
--- a/src/libs/entry_host/fleet_view.h
+++ b/src/libs/entry_host/fleet_view.h
@@ -103,6 +103,8 @@
   std::optional<time_point> ConfigConfirmedAt;
   std::map<std::string, subscriber> Subscribers;
   std::map<std::string, time_point> AbsentSince;
+  /// The newest revision read, whether or not it could be put in force.
+  std::uint64_t SeenRevision = 0;
   std::uint64_t AnnouncedRevision = 0;
   time_point ReaderSince;
   time_point StartedAt;
--- /dev/null
+++ b/tests/auto/entry_host/fleet_fixture.h
@@ -0,0 +1,275 @@
+/// \file
+/// Entry hosts, backend servers and a platform in one process, on loopback
+/// addresses.
+#pragma once
+
+#include "entry_host/entry_host.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace coriandertray::testing {
+
+const header_names TestNames = {"Test-Request-Id", "Test-Deadline-Ms",
+                                "Test-Signature",  "Test-Target",
+                                "Test-Load",       "Test-Not-Run"};
+
+/// A platform in memory.
+class platform_stand_in final : public platform_port {
+public:
+  asio::awaitable<result<config_document>> readConfig() override {
+    if (Down)
+      co_return fail(error_code::PlatformUnreachable, "down");
+    co_return config_document{Config.Revision, "held"};
+  }
+
+  asio::awaitable<result<std::optional<config_document>>>
+  awaitConfig(std::uint64_t Revision, duration Wait) override {
+    if (Down)
+      co_return fail(error_code::PlatformUnreachable, "down");
+    asio::steady_timer Timer(co_await asio::this_coro::executor);
+    const time_point End = std::chrono::steady_clock::now() + Wait;
+    while (Config.Revision <= Revision &&
+           std::chrono::steady_clock::now() < End) {
+      Timer.expires_after(milliseconds(5));
+      co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    if (Config.Revision <= Revision)
+      co_return std::optional<config_document>();
+    co_return config_document{Config.Revision, "held"};
+  }
+
+  [[nodiscard]] result<routing_config>
+  decodeConfig(const config_document &) const override {
+    return Config;
+  }
+
+  asio::awaitable<result<std::vector<backend_registration>>>
+  readBackends() override {
+    if (Down)
+      co_return fail(error_code::PlatformUnreachable, "down");
+    co_return Backends;
+  }
+
+  asio::awaitable<result<std::vector<fleet_member>>> readMembers() override {
+    if (Down)
+      co_return fail(error_code::PlatformUnreachable, "down");
+    co_return Members;
+  }
+
+  asio::awaitable<result<void>> addMember(fleet_member Member) override {
+    Members.push_back(Member);
+    co_return result<void>();
+  }
+
+  asio::awaitable<result<void>> removeMember(std::string Host) override {
+    std::erase_if(Members, [&Host](const fleet_member &Member) {
+      return Member.Host == Host;
+    });
+    co_return result<void>();
+  }
+
+  bool Down = false;
+  routing_config Config;
+  std::vector<backend_registration> Backends;
+  std::vector<fleet_member> Members;
+};
+
+using backend_script =
+    std::function<asio::awaitable<http_response>(http_request)>;
+
+/// A whole answer as a backend server gives it.
+inline http_response signedAnswer(const http_request &Request,
+                                  unsigned Status = 200,
+                                  std::string Body = "whole") {
+  http_response Answer;
+  Answer.Status = Status;
+  Answer.Headers = {
+      {TestNames.RequestId,
+       findHeader(Request.Headers, TestNames.RequestId).value_or("")},
+      {TestNames.Signature, "signed"}};
+  Answer.Body = std::move(Body);
+  return Answer;
+}
+
+/// Answers as they come from the wire, for raw scripts.
+inline http_response rawAnswer(std::string Bytes) {
+  http_response Answer;
+  Answer.RawBytes = std::move(Bytes);
+  return Answer;
+}
+
+inline asio::awaitable<void> pauseFor(duration Time) {
+  asio::steady_timer Timer(co_await asio::this_coro::executor, Time);
+  co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+/// One backend server that counts what reaches it.
+struct scripted_backend {
+  scripted_backend(asio::io_context &Context, std::string Name,
+                   socket_address Address, backend_script Script)
+      : Name(std::move(Name)), Address(std::move(Address)),
+        Script(std::move(Script)),
+        Server(Context, {},
+               [this](http_request Request, std::shared_ptr<peer_connection>) {
+                 Requests.push_back(Request);
+                 return this->Script(std::move(Request));
+               }) {
+    REQUIRE(Server.listen(this->Address).has_value());
+  }
+
+  std::string Name;
+  socket_address Address;
+  backend_script Script;
+  std::vector<http_request> Requests;
+  http_server Server;
+};
+
+class fleet_fixture {
+public:
+  explicit fleet_fixture(int Hosts = 1) {
+    Platform.Config.Version = 1;
+    Platform.Config.Revision = 1;
+    addRoute("read", "/read/", true);
+    addRoute("book", "/book/", false);
+    for (int Number = 0; Number < Hosts; ++Number)
+      addHost(Number);
+  }
+
+  void addRoute(const std::string &Name, const std::string &Prefix,
+                bool Idempotent) {
+    route_rule Route;
+    Route.Name = Name;
+    Route.Host = "a.example";
+    Route.PathPrefix = Prefix;
+    Route.Idempotent = Idempotent;
+    Route.Timeout = milliseconds(1500);
+    Route.TargetLatency = milliseconds(1000);
+    Route.MaxAttempts = 2;
+    Route.Services = {{"one", 1}};
+    Platform.Config.Routes.push_back(Route);
+  }
+
+  scripted_backend &addBackend(backend_script Script) {
+    const auto Number = Backends.size();
+    const socket_address Address = {"127.97.3." + std::to_string(1 + Number),
+                                    18'300};
+    Backends.push_back(std::make_unique<scripted_backend>(
+        Context, "server-" + std::to_string(Number), Address,
+        std::move(Script)));
+    Platform.Backends.push_back({Backends.back()->Name, "one", Address, "a", 2,
+                                 false, milliseconds(0), 1});
+    return *Backends.back();
+  }
+
+  /// Starts the hosts, waits until they are ready, and runs \p Steps.
+  void run(const std::function<asio::awaitable<void>()> &Steps) {
+    for (const auto &Host : Hosts)
+      REQUIRE(Host->start().has_value());
+    asio::co_spawn(
+        Context,
+        [this, &Steps]() -> asio::awaitable<void> {
+          co_await pauseFor(milliseconds(50));
+          co_await Steps();
+          Context.stop();
+        },
+        asio::detached);
+    Context.run();
+  }
+
+  static socket_address listenAddress(int Number) {
+    return {"127.97.2." + std::to_string(1 + Number), 18'200};
+  }
+
+  /// Sends \p Bytes on a new connection to host \p Number and reads until
+  /// \p Answers of them carry their whole body or the connection ends.
+  asio::awaitable<std::string> talk(std::string Bytes, std::size_t Answers = 1,
+                                    int Number = 0) {
+    constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+    asio::ip::tcp::socket Socket(Context);
+    const socket_address Address = listenAddress(Number);
+    const asio::ip::tcp::endpoint Endpoint(asio::ip::make_address(Address.Ip),
+                                           Address.Port);
+    co_await Socket.async_connect(Endpoint, UseTuple);
+    co_await asio::async_write(Socket, asio::buffer(Bytes), UseTuple);
+    std::string Received;
+    std::array<char, 4096> Chunk{};
+    while (countAnswers(Received) < Answers) {
+      auto [Failure, Count] =
+          co_await Socket.async_read_some(asio::buffer(Chunk), UseTuple);
+      if (Failure)
+        break;
+      Received.append(Chunk.data(), Count);
+    }
+    co_return Received;
+  }
+
+  static std::string requestText(const std::string &Method,
+                                 const std::string &Target,
+                                 const std::string &Id) {
+    return Method + " " + Target + " HTTP/1.1\r\nHost: a.example\r\n" +
+           TestNames.RequestId + ": " + Id + "\r\n" + TestNames.DeadlineMs +
+           ": 3000\r\nContent-Length: 0\r\n\r\n";
+  }
+
+  static std::size_t countAnswers(const std::string &Text) {
+    std::size_t Count = 0;
+    std::size_t At = 0;
+    for (;;) {
+      const std::size_t End = Text.find("\r\n\r\n", At);
+      if (End == std::string::npos)
+        return Count;
+      const std::size_t Length = Text.find("Content-Length: ", At);
+      std::size_t Size = 0;
+      if (Length < End)
+        Size = std::stoul(Text.substr(Length + 16));
+      At = End + 4 + Size;
+      if (At > Text.size())
+        return Count;
+      ++Count;
+    }
+  }
+
+  static unsigned statusOf(const std::string &Text) {
+    constexpr std::size_t StatusAt = 9;
+    return Text.size() > StatusAt
+               ? static_cast<unsigned>(std::stoul(Text.substr(StatusAt, 3)))
+               : 0;
+  }
+
+  asio::io_context Context;
+  steady_clock_source Clock;
+  platform_stand_in Platform;
+  std::vector<std::unique_ptr<scripted_backend>> Backends;
+  std::vector<std::unique_ptr<entry_host>> Hosts;
+
+private:
+  void addHost(int Number) {
+    host_settings Settings;
+    const std::string Ip = listenAddress(Number).Ip;
+    Settings.Host = "host-" + std::to_string(Number);
+    Settings.Zone = "a";
+    Settings.Listen = listenAddress(Number);
+    Settings.Readiness = {Ip, 18'201};
+    Settings.Peers = {Ip, 18'202};
+    Settings.Metrics = {Ip, 18'203};
+    Settings.Retries = {0.2, seconds(10), 60};
+    Settings.GracePeriod = seconds(1);
+    Hosts.push_back(std::make_unique<entry_host>(Context, Clock, Settings,
+                                                 TestNames, Platform));
+  }
+};
+
+} // namespace coriandertray::testing
--- /dev/null
+++ b/tests/auto/entry_host/tst_fleet.cpp
@@ -0,0 +1,123 @@
+#include "fleet_fixture.h"
+
+using namespace coriandertray;
+using namespace coriandertray::testing;
+
+namespace {
+
+asio::awaitable<http_response> answerWhole(http_request Request) {
+  co_await pauseFor(milliseconds(5));
+  co_return signedAnswer(Request);
+}
+
+std::int64_t numberAt(const json::object &Dump, std::string_view Part,
+                      std::string_view Key) {
+  return Dump.at(Part).as_object().at(Key).to_number<std::int64_t>();
+}
+
+std::string allocatorOf(const entry_host &Host) {
+  const json::object Dump = Host.dump();
+  const json::object &Services =
+      Dump.at("slots").as_object().at("services").as_object();
+  if (!Services.contains("one"))
+    return {};
+  return std::string(
+      Services.at("one").as_object().at("allocator").as_string());
+}
+
+} // namespace
+
+TEST_CASE("hosts find each other and one allocates for all") {
+  constexpr int HostCount = 4;
+  fleet_fixture Fleet(HostCount);
+  Fleet.addBackend(answerWhole);
+  Fleet.addBackend(answerWhole);
+  Fleet.run([&]() -> asio::awaitable<void> {
+    co_await pauseFor(seconds(3));
+    std::set<std::string> Allocators;
+    for (int Number = 0; Number < HostCount; ++Number) {
+      CHECK(numberAt(Fleet.Hosts[static_cast<std::size_t>(Number)]->dump(),
+                     "view", "members") == HostCount);
+      const std::string Answer = co_await Fleet.talk(
+          Fleet.requestText("GET", "/read/", "r" + std::to_string(Number)), 1,
+          Number);
+      CHECK(Fleet.statusOf(Answer) == 200);
+      Allocators.insert(
+          allocatorOf(*Fleet.Hosts[static_cast<std::size_t>(Number)]));
+    }
+    CHECK(Allocators.size() == 1);
+  });
+}
+
+TEST_CASE("a host that loses its allocator serves on") {
+  constexpr int HostCount = 3;
+  fleet_fixture Fleet(HostCount);
+  Fleet.addBackend(answerWhole);
+  Fleet.run([&]() -> asio::awaitable<void> {
+    co_await pauseFor(seconds(3));
+    co_await Fleet.talk(Fleet.requestText("GET", "/read/", "r0"));
+    const std::string Allocator = allocatorOf(*Fleet.Hosts[0]);
+    const int Lost = Allocator.back() - '0';
+    const int Kept = (Lost + 1) % HostCount;
+    Fleet.Hosts[static_cast<std::size_t>(Lost)]->leave();
+    co_await pauseFor(milliseconds(20));
+    const std::string Answer =
+        co_await Fleet.talk(Fleet.requestText("POST", "/book/", "r1"), 1, Kept);
+    CHECK(Fleet.statusOf(Answer) == 200);
+    CHECK(allocatorOf(*Fleet.Hosts[static_cast<std::size_t>(Kept)]) !=
+          Allocator);
+  });
+}
+
+TEST_CASE("a new configuration reaches all hosts, an older one none") {
+  fleet_fixture Fleet(2);
+  Fleet.addBackend(answerWhole);
+  Fleet.run([&]() -> asio::awaitable<void> {
+    co_await pauseFor(seconds(2));
+    Fleet.addRoute("new", "/new/", true);
+    Fleet.Platform.Config.Version = 5;
+    Fleet.Platform.Config.Revision = 5;
+    co_await pauseFor(seconds(2));
+    for (int Number = 0; Number < 2; ++Number) {
+      const std::string Answer = co_await Fleet.talk(
+          Fleet.requestText("GET", "/new/x", "r"), 1, Number);
+      CHECK(Fleet.statusOf(Answer) == 200);
+    }
+    Fleet.Platform.Config.Version = 3;
+    Fleet.Platform.Config.Revision = 6;
+    Fleet.Platform.Config.Routes.pop_back();
+    co_await pauseFor(seconds(2));
+    const std::string Answer =
+        co_await Fleet.talk(Fleet.requestText("GET", "/new/x", "r"));
+    CHECK(Fleet.statusOf(Answer) == 200);
+  });
+}
+
+TEST_CASE("with the platform away hosts serve on, and deny no route") {
+  fleet_fixture Fleet(1);
+  Fleet.addBackend(answerWhole);
+  Fleet.run([&]() -> asio::awaitable<void> {
+    co_await pauseFor(seconds(1));
+    Fleet.Platform.Down = true;
+    co_await pauseFor(seconds(4));
+    CHECK(Fleet.statusOf(co_await Fleet.talk(
+              Fleet.requestText("GET", "/read/", "r1"))) == 200);
+    CHECK(Fleet.statusOf(co_await Fleet.talk(
+              Fleet.requestText("GET", "/none/", "r2"))) == 503);
+  });
+}
+
+TEST_CASE("a draining server gets nothing more") {
+  fleet_fixture Fleet(1);
+  Fleet.addBackend(answerWhole);
+  Fleet.addBackend(answerWhole);
+  Fleet.run([&]() -> asio::awaitable<void> {
+    Fleet.Platform.Backends[0].Draining = true;
+    co_await pauseFor(seconds(1));
+    Fleet.Backends[0]->Requests.clear();
+    for (int Count = 0; Count < 10; ++Count)
+      co_await Fleet.talk(Fleet.requestText("GET", "/read/", "r"));
+    CHECK(Fleet.Backends[0]->Requests.empty());
+    CHECK(Fleet.Backends[1]->Requests.size() >= 10);
+  });
+}
--- /dev/null
+++ b/tests/auto/entry_host/tst_request_course.cpp
@@ -0,0 +1,309 @@
+#include "fleet_fixture.h"
+
+using namespace coriandertray;
+using namespace coriandertray::testing;
+
+namespace {
+
+asio::awaitable<http_response> answerWhole(http_request Request) {
+  co_return signedAnswer(Request);
+}
+
+asio::awaitable<http_response> hang(http_request Request) {
+  co_await pauseFor(seconds(20));
+  co_return signedAnswer(Request);
+}
+
+backend_script fixedAnswer(unsigned Status, bool Signed, bool SaysNotRun) {
+  return [=](http_request Request) -> asio::awaitable<http_response> {
+    http_response Answer = signedAnswer(Request, Status);
+    if (!Signed)
+      removeHeader(Answer.Headers, TestNames.Signature);
+    if (SaysNotRun)
+      setHeader(Answer.Headers, TestNames.NotRun, "1");
+    co_return Answer;
+  };
+}
+
+std::string get(const std::string &Id = "r1") {
+  return fleet_fixture::requestText("GET", "/read/x?y=1", Id);
+}
+
+std::string post(const std::string &Id = "r1") {
+  return fleet_fixture::requestText("POST", "/book/x", Id);
+}
+
+} // namespace
+
+TEST_CASE(
+    "a request reaches the server that is named, and its answer returns") {
+  fleet_fixture Fleet;
+  scripted_backend &Backend = Fleet.addBackend(answerWhole);
+  Fleet.run([&]() -> asio::awaitable<void> {
+    const std::string Answer = co_await Fleet.talk(get());
+    CHECK(Fleet.statusOf(Answer) == 200);
+    CHECK(Answer.find("whole") != std::string::npos);
+    REQUIRE(Backend.Requests.size() == 1);
+    const http_request &Seen = Backend.Requests.front();
+    CHECK(Seen.Target == "/read/x?y=1");
+    CHECK(findHeader(Seen.Headers, TestNames.TargetBackend) == "server-0");
+    CHECK(findHeader(Seen.Headers, TestNames.RequestId) == "r1");
+    const auto Left = findHeader(Seen.Headers, TestNames.DeadlineMs);
+    REQUIRE(Left);
+    CHECK(std::stoi(*Left) <= 1500);
+  });
+}
+
+TEST_CASE("an unknown route is told as such, when the configuration is known") {
+  fleet_fixture Fleet;
+  Fleet.run([&]() -> asio::awaitable<void> {
+    const std::string Answer =
+        co_await Fleet.talk(Fleet.requestText("GET", "/none/", "r1"));
+    CHECK(Fleet.statusOf(Answer) == 404);
+  });
+}
+
+TEST_CASE("without a configuration nothing is denied, only put off") {
+  fleet_fixture Fleet;
+  Fleet.Platform.Down = true;
+  Fleet.run([&]() -> asio::awaitable<void> {
+    const std::string Answer = co_await Fleet.talk(get());
+    CHECK(Fleet.statusOf(Answer) == 503);
+    CHECK(Answer.find("Retry-After") != std::string::npos);
+  });
+}
+
+TEST_CASE("a success without a signature is never passed on") {
+  fleet_fixture Fleet;
+  scripted_backend &Backend = Fleet.addBackend(fixedAnswer(200, false, false));
+  Fleet.run([&]() -> asio::awaitable<void> {
+    CHECK(Fleet.statusOf(co_await Fleet.talk(post())) == 502);
+    CHECK(Backend.Requests.size() == 1);
+  });
+}
+
+TEST_CASE("a status that denies having run is not passed on without proof") {
+  for (const unsigned Status : {408U, 429U, 503U}) {
+    fleet_fixture Fleet;
+    scripted_backend &Backend =
+        Fleet.addBackend(fixedAnswer(Status, true, false));
+    Fleet.run([&]() -> asio::awaitable<void> {
+      const std::string Answer = co_await Fleet.talk(post());
+      CHECK(Fleet.statusOf(Answer) == 502);
+      CHECK(Answer.find(TestNames.Signature) == std::string::npos);
+      CHECK(Backend.Requests.size() == 1);
+    });
+  }
+}
+
+TEST_CASE("work that a server provably did not run goes to another one") {
+  for (const unsigned Status : {503U, 421U}) {
+    fleet_fixture Fleet;
+    Fleet.addBackend(fixedAnswer(Status, false, true));
+    Fleet.addBackend(fixedAnswer(Status, false, true));
+    Fleet.addBackend(fixedAnswer(Status, false, true));
+    Fleet.run([&]() -> asio::awaitable<void> {
+      const std::string Answer = co_await Fleet.talk(post());
+      CHECK(Fleet.statusOf(Answer) == 503);
+      std::size_t Arrivals = 0;
+      for (const auto &Backend : Fleet.Backends) {
+        CHECK(Backend->Requests.size() <= 1);
+        Arrivals += Backend->Requests.size();
+      }
+      // As many servers as the route allows.
+      CHECK(Arrivals == 2);
+    });
+  }
+}
+
+TEST_CASE("work that may have run and can't be repeated is sent once") {
+  const std::vector<std::string> Broken = {
+      "", "nonsense\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nTest-Signature: s\r\nTest-Request-Id: r1\r\n"
+      "Content-Length: 50\r\n\r\nshort"};
+  for (const std::string &Bytes : Broken) {
+    fleet_fixture Fleet;
+    const backend_script Script =
+        [&Bytes](http_request) -> asio::awaitable<http_response> {
+      co_return rawAnswer(Bytes);
+    };
+    Fleet.addBackend(Script);
+    Fleet.addBackend(Script);
+    Fleet.run([&]() -> asio::awaitable<void> {
+      CHECK(Fleet.statusOf(co_await Fleet.talk(post())) == 502);
+      CHECK(Fleet.Backends[0]->Requests.size() +
+                Fleet.Backends[1]->Requests.size() ==
+            1);
+    });
+  }
+}
+
+TEST_CASE("an idempotent request that failed is repeated elsewhere") {
+  fleet_fixture Fleet;
+  bool Failed = false;
+  const backend_script Script =
+      [&Failed](http_request Request) -> asio::awaitable<http_response> {
+    if (!std::exchange(Failed, true))
+      co_return rawAnswer("");
+    co_return signedAnswer(Request);
+  };
+  Fleet.addBackend(Script);
+  Fleet.addBackend(Script);
+  Fleet.run([&]() -> asio::awaitable<void> {
+    CHECK(Fleet.statusOf(co_await Fleet.talk(get())) == 200);
+    CHECK(Fleet.Backends[0]->Requests.size() == 1);
+    CHECK(Fleet.Backends[1]->Requests.size() == 1);
+  });
+}
+
+TEST_CASE("the answer to another request is passed over") {
+  fleet_fixture Fleet;
+  Fleet.addBackend([](http_request) -> asio::awaitable<http_response> {
+    co_return rawAnswer(
+        "HTTP/1.1 200 OK\r\nTest-Signature: s\r\nTest-Request-Id: other\r\n"
+        "Content-Length: 5\r\n\r\nwrong"
+        "HTTP/1.1 200 OK\r\nTest-Signature: s\r\nTest-Request-Id: r1\r\n"
+        "Content-Length: 5\r\n\r\nright");
+  });
+  Fleet.run([&]() -> asio::awaitable<void> {
+    const std::string Answer = co_await Fleet.talk(post());
+    CHECK(Fleet.statusOf(Answer) == 200);
+    CHECK(Answer.find("right") != std::string::npos);
+    CHECK(Answer.find("wrong") == std::string::npos);
+  });
+}
+
+TEST_CASE("an answer that ends with its connection is whole") {
+  fleet_fixture Fleet;
+  Fleet.addBackend([](http_request) -> asio::awaitable<http_response> {
+    co_return rawAnswer("HTTP/1.1 200 OK\r\nTest-Signature: s\r\n"
+                        "Test-Request-Id: r1\r\n\r\nto the end");
+  });
+  Fleet.run([&]() -> asio::awaitable<void> {
+    const std::string Answer = co_await Fleet.talk(post());
+    CHECK(Fleet.statusOf(Answer) == 200);
+    CHECK(Answer.find("to the end") != std::string::npos);
+    CHECK(Answer.find("Content-Length: 10") != std::string::npos);
+  });
+}
+
+TEST_CASE("a silent server ends in a timeout, work that never left in a 503") {
+  fleet_fixture Fleet;
+  Fleet.addBackend(hang);
+  Fleet.run([&]() -> asio::awaitable<void> {
+    const time_point Start = std::chrono::steady_clock::now();
+    CHECK(Fleet.statusOf(co_await Fleet.talk(post())) == 504);
+    CHECK(std::chrono::steady_clock::now() - Start < seconds(10));
+    CHECK(Fleet.Backends[0]->Requests.size() == 1);
+  });
+}
+
+TEST_CASE("an idempotent request at a silent server is hedged") {
+  fleet_fixture Fleet;
+  const auto First = std::make_shared<bool>(true);
+  const backend_script Script =
+      [First](http_request Request) -> asio::awaitable<http_response> {
+    if (std::exchange(*First, false))
+      co_await pauseFor(seconds(20));
+    co_return signedAnswer(Request);
+  };
+  Fleet.addBackend(Script);
+  Fleet.addBackend(Script);
+  Fleet.run([&]() -> asio::awaitable<void> {
+    CHECK(Fleet.statusOf(co_await Fleet.talk(get())) == 200);
+  });
+}
+
+TEST_CASE("pipelined requests are answered in the order they came in") {
+  fleet_fixture Fleet;
+  Fleet.addBackend([](http_request Request) -> asio::awaitable<http_response> {
+    const std::string Id =
+        findHeader(Request.Headers, TestNames.RequestId).value_or("");
+    co_await pauseFor(milliseconds(Id == "r1" ? 100 : 1));
+    co_return signedAnswer(Request, 200, "body of " + Id);
+  });
+  Fleet.run([&]() -> asio::awaitable<void> {
+    const std::string Answers =
+        co_await Fleet.talk(get("r1") + get("r2") + get("r3"), 3);
+    const std::size_t One = Answers.find("body of r1");
+    const std::size_t Two = Answers.find("body of r2");
+    const std::size_t Three = Answers.find("body of r3");
+    REQUIRE(Three != std::string::npos);
+    CHECK(One < Two);
+    CHECK(Two < Three);
+  });
+}
+
+TEST_CASE("a caller that leaves frees the server of repeatable work only") {
+  for (const bool Idempotent : {true, false}) {
+    fleet_fixture Fleet;
+    Fleet.addBackend(hang);
+    Fleet.run([&]() -> asio::awaitable<void> {
+      asio::ip::tcp::socket Socket(Fleet.Context);
+      const socket_address Address = Fleet.listenAddress(0);
+      co_await Socket.async_connect(
+          asio::ip::tcp::endpoint(asio::ip::make_address(Address.Ip),
+                                  Address.Port),
+          asio::use_awaitable);
+      const std::string Text = Idempotent ? get() : post();
+      co_await asio::async_write(Socket, asio::buffer(Text),
+                                 asio::use_awaitable);
+      co_await pauseFor(milliseconds(100));
+      Socket.close();
+      co_await pauseFor(milliseconds(100));
+      const json::object Dump = Fleet.Hosts[0]->dump();
+      const auto Held =
+          Dump.at("slots").as_object().at("slots_held").to_number<int>();
+      CHECK(Held == (Idempotent ? 0 : 1));
+    });
+  }
+}
+
+TEST_CASE("malformed requests get an error and harm nobody") {
+  fleet_fixture Fleet;
+  Fleet.addBackend(answerWhole);
+  Fleet.run([&]() -> asio::awaitable<void> {
+    const std::vector<std::string> Malformed = {
+        "nonsense\r\n\r\n", "GET /read/ HTTP/1.1\r\n\r\n",
+        "GET /read/ HTTP/1.1\r\nHost: a.example\r\nHost: b.example\r\n\r\n",
+        "POST /book/ HTTP/1.1\r\nHost: a.example\r\nContent-Length: 1\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"};
+    for (const std::string &Text : Malformed)
+      CHECK_MESSAGE(Fleet.statusOf(co_await Fleet.talk(Text)) == 400, Text);
+    CHECK(Fleet.Backends[0]->Requests.empty());
+    CHECK(Fleet.statusOf(co_await Fleet.talk(get())) == 200);
+  });
+}
+
+TEST_CASE("a chunked body arrives whole at the server") {
+  fleet_fixture Fleet;
+  Fleet.addBackend(answerWhole);
+  Fleet.run([&]() -> asio::awaitable<void> {
+    const std::string Text =
+        "POST /book/ HTTP/1.1\r\nHost: a.example\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    CHECK(Fleet.statusOf(co_await Fleet.talk(Text)) == 200);
+    REQUIRE(Fleet.Backends[0]->Requests.size() == 1);
+    CHECK(Fleet.Backends[0]->Requests[0].Body == "abcde");
+  });
+}
+
+TEST_CASE("a leaving host answers what it has and says that it closes") {
+  fleet_fixture Fleet;
+  Fleet.addBackend([](http_request Request) -> asio::awaitable<http_response> {
+    co_await pauseFor(milliseconds(100));
+    co_return signedAnswer(Request);
+  });
+  Fleet.run([&]() -> asio::awaitable<void> {
+    asio::co_spawn(
+        Fleet.Context,
+        [&]() -> asio::awaitable<void> {
+          co_await pauseFor(milliseconds(50));
+          Fleet.Hosts[0]->leave();
+        },
+        asio::detached);
+    const std::string Answer = co_await Fleet.talk(post());
+    CHECK(Fleet.statusOf(Answer) == 200);
+    CHECK(Answer.find("Connection: close") != std::string::npos);
+  });
+}
--- /dev/null
+++ b/tests/auto/entry_host/tst_slot_wire.cpp
@@ -0,0 +1,64 @@
+#include "entry_host/slot_wire.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace coriandertray;
+
+namespace {
+
+const time_point Now{std::chrono::hours(1)};
+
+} // namespace
+
+TEST_CASE("slot messages survive the wire") {
+  slot_request Request;
+  Request.Key = {"host", 7};
+  Request.Zone = "a";
+  Request.Work = "route";
+  Request.Idempotent = true;
+  Request.Priority = 2;
+  Request.Asked = Now;
+  Request.Target = Now + milliseconds(400);
+  Request.Deadline = Now + milliseconds(900);
+  Request.Repeat = repeat_reason::Slow;
+  Request.Tried = {"x"};
+  Request.Unreachable = {"y", "z"};
+  CHECK(fromWire(toWire(Request, "service", Now), Now) == Request);
+  slot_answer Answer;
+  Answer.Key = {"host", 7};
+  Answer.Verdict = slot_verdict::Granted;
+  Answer.Backend = "x";
+  Answer.Address = {"10.0.0.1", 80};
+  Answer.HedgeAfter = milliseconds(300);
+  CHECK(fromWire(toWire(Answer), "host") == Answer);
+  const slot_end End = {{"host", 7}, slot_outcome::Silent, milliseconds(12)};
+  CHECK(fromWire(toWire(End, "service")) == End);
+  const slot_use_report Use = {
+      {"host", 7}, "x", "route", Now - milliseconds(5), Now + milliseconds(50)};
+  CHECK(fromWire(toWire(Use, "service", Now), Now) == Use);
+}
+
+TEST_CASE("a grant without an address is an error") {
+  wire::slot_answer_value Value;
+  Value.verdict = wire::slot_verdict::Granted;
+  Value.address = "nowhere";
+  CHECK_FALSE(fromWire(Value, "host"));
+}
+
+TEST_CASE("bytes of any kind are an envelope or a typed error") {
+  rc::check("spoiled frames never crash", [] {
+    envelope Message;
+    slot_request Request;
+    Request.Key = {"host", 1};
+    Request.Tried = {"a", "b"};
+    Message.body.Set(toWire(Request, "service", Now));
+    std::vector<std::uint8_t> Frame = encodeFrame(Message);
+    const auto Spoiled = *rc::gen::inRange<std::size_t>(4, Frame.size());
+    Frame[Spoiled] = *rc::gen::arbitrary<std::uint8_t>();
+    const auto Decoded =
+        decodeEnvelope(std::span(Frame).subspan(FrameHeaderBytes));
+    if (!Decoded)
+      RC_ASSERT(Decoded.error().Code == error_code::FrameMalformed);
+  });
+}
