--- a/src/libs/entry_host/fleet_view.cpp
+++ b/src/libs/entry_host/fleet_view.cpp
@@ -301,23 +301,25 @@
 void fleet_view::subscribe() {
   SubscribedAt = Clock.now();
   const std::string Reader = readerHost();
-  wire::view_subscribe_value Value;
-  Value.host = Self.Host;
-  Value.directory_version = contentVersion();
-  Peers.send(Reader, makeBody(std::move(Value)));
+  Peers.send(Reader, makeBody(makeSubscription()));
   if (age() <= StaleAfter)
     return;
   // The reader may be cut off from the platform: ask the next one as well.
   for (const std::string &Host : Peers.ranked(ReaderDuty)) {
     if (Host == Reader || Host == Self.Host || !Peers.isUsable(Host))
       continue;
-    Value.host = Self.Host;
-    Value.directory_version = contentVersion();
-    Peers.send(Host, makeBody(std::move(Value)));
+    Peers.send(Host, makeBody(makeSubscription()));
     return;
   }
 }
 
+wire::view_subscribe_value fleet_view::makeSubscription() const {
+  wire::view_subscribe_value Value;
+  Value.host = Self.Host;
+  Value.directory_version = contentVersion();
+  return Value;
+}
+
 asio::awaitable<void> fleet_view::removeGone() {
   const time_point Now = Clock.now();
   std::vector<std::string> Gone;
--- a/src/libs/entry_host/fleet_view.h
+++ b/src/libs/entry_host/fleet_view.h
@@ -71,6 +71,7 @@
   asio::awaitable<void> fetchConfigFrom(std::string Host);
   asio::awaitable<void> removeGone();
   void subscribe();
+  [[nodiscard]] wire::view_subscribe_value makeSubscription() const;
   [[nodiscard]] bool isReader() const;
   [[nodiscard]] bool mayRead() const;
   [[nodiscard]] std::string readerHost() const;
--- a/tests/auto/entry_host/fleet_fixture.h
+++ b/tests/auto/entry_host/fleet_fixture.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "entry_host/entry_host.h"
+#include "utils/log.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -140,6 +141,11 @@
 class fleet_fixture {
 public:
   explicit fleet_fixture(int Hosts = 1) {
+    static const bool Quiet = [] {
+      startLogging("test", "", log_level::Error);
+      return true;
+    }();
+    REQUIRE(Quiet);
     Platform.Config.Version = 1;
     Platform.Config.Revision = 1;
     addRoute("read", "/read/", true);
