Allocation: Refuse nothing as overload while a slot is free

Change: those who wait are set against the free slots first, and capacity counts each server by how likely it is well.

--- a/src/libs/allocation/service_allocation.cpp
+++ b/src/libs/allocation/service_allocation.cpp
@@ -217,14 +217,22 @@
                       time_point Now) {
   const double Usual = usualLogOdds(State);
   double Slots = 0;
-  for (const auto &[Name, Backend] : State.Backends)
-    if (takesWork(Backend) &&
-        probabilityAt(State, Backend, Usual, Now) < SuspectedAt)
-      Slots += Backend.Registration.Slots;
+  std::ptrdiff_t Free = 0;
+  for (const auto &[Name, Backend] : State.Backends) {
+    if (mayTake(Backend, Request, Now))
+      Free += static_cast<std::ptrdiff_t>(Backend.Registration.Slots -
+                                          Backend.Uses.size());
+    if (takesWork(Backend))
+      Slots += Backend.Registration.Slots *
+               (1 - probabilityAt(State, Backend, Usual, Now));
+  }
   const auto Ahead = std::ranges::count_if(
       State.Waiting, [&Request](const slot_request &Other) {
         return Other.Priority <= Request.Priority;
       });
+  // Those who wait for a better server take a doubtful one in the end.
+  if (Ahead < Free)
+    return duration::zero();
   const duration Work = medianWork(profileOf(State, Request));
   constexpr double MeanOverMedian = 1.3;
   const double Turns =
--- a/tests/auto/allocation/tst_service_allocation.cpp
+++ b/tests/auto/allocation/tst_service_allocation.cpp
@@ -349,3 +349,31 @@
       });
   CHECK(Used >= 7);
 }
+
+TEST_CASE("nothing is refused as overload while a slot is free") {
+  // The load: all servers look doubtful at once, as their requests run long.
+  load_replay Replay;
+  setBackends(Replay.State, makeServers(10), Replay.Now);
+  Replay.run(seconds(3), milliseconds(50), true);
+  service_allocation &State = Replay.State;
+  const time_point Now = Replay.Now + seconds(3);
+  std::uint64_t Id = 5000;
+  for (auto &[Name, Backend] : State.Backends) {
+    Backend.Uses.clear();
+    for (int Count = 0; Count < 2; ++Count)
+      adoptUse(State,
+               {{"other", Id++},
+                Name,
+                "",
+                Now - milliseconds(900),
+                Now + milliseconds(600)},
+               Now);
+  }
+  for (int Count = 0; Count < 10; ++Count)
+    CHECK(askSlot(State, makeRequest(Id++, Now, true), Now).Verdict !=
+          slot_verdict::Refused);
+  for (int Count = 0; Count < 8; ++Count)
+    (void)askSlot(State, makeRequest(Id++, Now, true), Now);
+  CHECK(askSlot(State, makeRequest(Id++, Now, true), Now).Verdict ==
+        slot_verdict::Refused);
+}
