--- a/scripts/lib/schemas.py
+++ b/scripts/lib/schemas.py
@@ -90,11 +90,31 @@
 PROXY = record({**SETTINGS, "agent": ADDRESS},
                {"leave_limit_s": number("the longest graceful shutdown",
                                         1, 3600, 30)})
+DURATION = text("a number with ms or s", "^[0-9.]+(ms|s)$")
+HOST = record({
+    "host": text("the host's name"),
+    "zone": text("its availability zone"),
+    "ip": text("where other hosts connect"),
+    "listen": ADDRESS,
+    "readiness": ADDRESS,
+    "grace_period": DURATION,
+    "retry_window": DURATION,
+    "platform": ADDRESS,
+}, {
+    "first_internal_port": number("for other hosts; the next one serves "
+                                  "metrics and state", 1, 65535, 7540),
+    "cpu_share": {"type": "number", "minimum": 0, "default": 1.0,
+                  "description": "cores that the process may use"},
+    "retry_ratio": {"type": "number", "minimum": 0, "default": 0.2,
+                    "description": "repeats a request, fleet-wide"},
+    "retry_slack": {"type": "number", "minimum": 0, "default": 0,
+                    "description": "repeats beyond that in one window"},
+})
 
 
 def main():
     for name, schema in (("manifest", MANIFEST), ("agent", AGENT),
-                         ("proxy", PROXY)):
+                         ("proxy", PROXY), ("host", HOST)):
         path = ROOT / "schema" / f"{name}.json"
         path.write_text(json.dumps({"$schema": DRAFT, **schema}, indent=1)
                         + "\n")
--- a/src/libs/entry_host/request_course.cpp
+++ b/src/libs/entry_host/request_course.cpp
@@ -364,8 +364,8 @@
         continue;
       }
       Each->Elapsed = now() - Each->SentAt;
-      Environment.Slots.release(Each->SlotId, slot_outcome::Silent,
-                                Each->Elapsed);
+      Each->Outcome = slot_outcome::Silent;
+      Environment.Slots.release(Each->SlotId, Each->Outcome, Each->Elapsed);
       Each->Canceller->cancel();
     }
   }
