Allocation: Keep work on fewer, proven servers

Change: an unknown server is taken to be sick one time in four until more is known; evidence fades in 6 s and a well server can be believed more; a server in another zone costs 0.01 of a lost request.

--- a/src/libs/allocation/service_allocation.cpp
+++ b/src/libs/allocation/service_allocation.cpp
@@ -16,7 +16,7 @@
 // Costs of a placement, in parts of the worth of a lost request.
 constexpr double LossOfUnrepeatable = 0.75;
 constexpr double LossOfRepeatable = 0.35;
-constexpr double OtherZoneCost = 0.03;
+constexpr double OtherZoneCost = 0.01;
 constexpr double CrowdingCost = 0.04;
 constexpr double WarmUpCost = 0.15;
 constexpr double UnprovenCompanyCost = 0.1;
@@ -70,8 +70,8 @@
 // The share of servers that look sick, drawn towards a middling one while
 // there are few.
 double usualLogOdds(const service_allocation &State) {
-  constexpr double AssumedSick = 0.6;
-  constexpr double AssumedServers = 4;
+  constexpr double AssumedSick = 2;
+  constexpr double AssumedServers = 8;
   double Sick = AssumedSick;
   double Known = AssumedServers;
   for (const auto &[Name, Backend] : State.Backends) {
--- a/src/libs/allocation/sickness.cpp
+++ b/src/libs/allocation/sickness.cpp
@@ -9,10 +9,10 @@
 
 // A sick server is taken to lose this share of its requests.
 constexpr double SickLoss = 0.75;
-constexpr double MostWell = -3.0;
+constexpr double MostWell = -4.0;
 constexpr double MostSick = 5.0;
 // How fast old evidence loses its weight: gray failures last for seconds.
-constexpr double FadeSeconds = 4.0;
+constexpr double FadeSeconds = 6.0;
 
 } // namespace
 
