--- a/src/libs/allocation/service_allocation.cpp
+++ b/src/libs/allocation/service_allocation.cpp
@@ -39,6 +39,9 @@
 constexpr double UnservedShare = 0.07;
 constexpr std::size_t LeastEnds = 10;
 constexpr duration CoveragePause = milliseconds(1200);
+// So many of the servers believed well get work all the time: what fails next
+// may be what carries the rest.
+constexpr double CoveredShare = 0.8;
 constexpr double CoverageBonus = 1.0;
 // A use whose end nobody told of is forgotten so long after its deadline.
 constexpr duration OrphanAge = milliseconds(1500);
@@ -118,6 +121,25 @@
              UnservedShare * static_cast<double>(State.RecentEnds.size());
 }
 
+// Whether too few of the servers believed well were given work lately.
+bool fewCovered(const service_allocation &State, time_point Now) {
+  double Well = 0;
+  double Covered = 0;
+  for (const auto &[Name, Backend] : State.Backends) {
+    if (!takesWork(Backend) || Backend.Suspected)
+      continue;
+    Well += 1;
+    Covered += Now - Backend.LastGranted <= CoveragePause ? 1 : 0;
+  }
+  return Covered < CoveredShare * Well;
+}
+
+/// Which servers are to be used although others are cheaper.
+struct coverage_need {
+  bool AmongWell = false;
+  bool AmongAll = false;
+};
+
 bool mustBeUsed(const backend_record &Backend, const slot_request &Request,
                 time_point Now) {
   if (!Backend.AwaitsFirstUse || !Backend.Uses.empty())
@@ -134,8 +156,8 @@
 };
 
 priced_backend priceOf(const service_allocation &State, backend_record &Backend,
-                       const slot_request &Request, double Usual, bool Unserved,
-                       time_point Now) {
+                       const slot_request &Request, double Usual,
+                       coverage_need Need, time_point Now) {
   const double Probability = probabilityAt(State, Backend, Usual, Now);
   const auto Uses = static_cast<double>(Backend.Uses.size());
   double Cost = Probability *
@@ -147,7 +169,9 @@
     Cost += UnprovenCompanyCost * Uses;
   if (Now < Backend.WarmAt)
     Cost += WarmUpCost;
-  const bool Uncovered = Unserved && Backend.Uses.empty() &&
+  const bool Wanted =
+      Need.AmongAll || (Need.AmongWell && Probability < SuspectedAt);
+  const bool Uncovered = Wanted && Backend.Uses.empty() &&
                          Now - Backend.LastGranted > CoveragePause;
   if (mustBeUsed(Backend, Request, Now) || Uncovered)
     Cost -= CoverageBonus;
@@ -166,13 +190,13 @@
                                        const slot_request &Request,
                                        time_point Now) {
   const double Usual = usualLogOdds(State);
-  const bool Unserved = manyUnserved(State);
+  const coverage_need Need = {fewCovered(State, Now), manyUnserved(State)};
   std::optional<priced_backend> Best;
   for (auto &[Name, Backend] : State.Backends) {
     if (!mayTake(Backend, Request, Now))
       continue;
     const priced_backend Priced =
-        priceOf(State, Backend, Request, Usual, Unserved, Now);
+        priceOf(State, Backend, Request, Usual, Need, Now);
     if (!Best || Priced.Cost < Best->Cost)
       Best = Priced;
   }
@@ -364,6 +388,7 @@
     } else {
       Record.Belief = {Usual, Now};
       Record.JoinedAt = Now;
+      Record.LastGranted = Now;
       Record.AwaitsFirstUse = State.FirstListAt.has_value();
     }
     Record.Registration = Registration;
--- a/tests/auto/allocation/tst_service_allocation.cpp
+++ b/tests/auto/allocation/tst_service_allocation.cpp
@@ -377,3 +377,15 @@
   CHECK(askSlot(State, makeRequest(Id++, Now, true), Now).Verdict ==
         slot_verdict::Refused);
 }
+
+TEST_CASE("most servers believed well get work in any two seconds") {
+  // The load: light enough for a few servers, which may be lost at any moment.
+  load_replay Replay;
+  setBackends(Replay.State, makeServers(16), Replay.Now);
+  Replay.run(seconds(4), milliseconds(30));
+  for (int Window = 0; Window < 5; ++Window) {
+    Replay.Granted.clear();
+    Replay.run(seconds(2), milliseconds(30));
+    CHECK(Replay.Granted.size() >= 12);
+  }
+}
