--- a/src/libs/http/http_client.cpp
+++ b/src/libs/http/http_client.cpp
@@ -274,6 +274,9 @@
       const bool NotSent =
           Outgoing->Done && Outgoing->Failure && Outgoing->Written == 0;
       Result.Status = statusOfReadFailure(ReadFailure, Parser.got_some());
+      const bool Silent = Result.Status == call_status::TimedOut;
+      if (SurplusAnswers && !Silent)
+        Result.Status = call_status::Malformed;
       if (NotSent)
         Result.Status = call_status::NotSent;
       if (WasCancelled())
