--- a/src/libs/discovery/backend_directory.cpp
+++ b/src/libs/discovery/backend_directory.cpp
@@ -33,8 +33,6 @@
   std::ranges::sort(Listed, {}, &backend_registration::Name);
   const bool Same = std::ranges::equal(Directory.Backends, Listed, sameBackend);
   Directory.Backends = std::move(Listed);
-  if (!Same)
-    ++Directory.Version;
   return !Same;
 }
 
--- a/src/libs/discovery/backend_directory.h
+++ b/src/libs/discovery/backend_directory.h
@@ -21,8 +21,6 @@
   std::optional<time_point> ReadAt;
   /// The last read after which no entry was awaited back: how old the list is.
   std::optional<time_point> SettledAt;
-  /// Grows with each change of Backends.
-  std::uint64_t Version = 0;
 };
 
 /// Takes a list that the platform gave at \p Now. Entries that are missing are
--- a/src/libs/entry_host/fleet_view.cpp
+++ b/src/libs/entry_host/fleet_view.cpp
@@ -17,16 +17,20 @@
 namespace {
 
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
-constexpr std::string_view ReaderDuty = "reader";
 // How often the reader lists the backend servers, and tells the others.
 constexpr duration ReadInterval = milliseconds(400);
 // How often a host looks whether what it knows has grown old.
 constexpr duration TickInterval = milliseconds(150);
+// Shortly after its start a host waits for the first lists.
+constexpr duration FirstTickInterval = milliseconds(25);
 constexpr duration SubscribeInterval = milliseconds(900);
+// The link to the reader may not be open yet, or the reader have no list.
+constexpr duration FirstSubscribeInterval = milliseconds(50);
 // How long a watch of the configuration waits; it confirms that there is none
 // newer.
 constexpr duration ConfigWait = milliseconds(500);
 constexpr duration RetryPause = milliseconds(300);
+constexpr duration FetchTimeout = milliseconds(400);
 // While the platform doesn't answer, only the reader asks often.
 constexpr duration OutagePause = milliseconds(1500);
 constexpr duration RegisterPause = milliseconds(400);
@@ -53,6 +57,14 @@
   return Result ? std::nullopt : std::optional<error>(Result.error());
 }
 
+std::uint64_t memberListVersion(const std::vector<fleet_member> &Members) {
+  std::uint64_t Hash = 1;
+  for (const fleet_member &Member : Members)
+    Hash = stableHash(Member.Host + toString(Member.Address) + Member.Zone,
+                      Hash + Member.Capacity);
+  return Hash;
+}
+
 std::uint32_t wireMs(duration Age) {
   return static_cast<std::uint32_t>(
       std::chrono::duration_cast<milliseconds>(Age).count());
@@ -69,11 +81,8 @@
 void fleet_view::start() {
   StartedAt = Clock.now();
   Peers.compareViews([this] { return age(); });
-  Peers.watchDuty(std::string(ReaderDuty));
-  // All hosts may have started at once: nobody else can be asked yet.
-  asio::co_spawn(Context, readBackends(), asio::detached);
   asio::co_spawn(Context, readFirstConfig(), asio::detached);
-  asio::co_spawn(Context, registerSelf(), asio::detached);
+  asio::co_spawn(Context, join(), asio::detached);
   asio::co_spawn(Context, tickLoop(), asio::detached);
   asio::co_spawn(Context, watchConfigLoop(), asio::detached);
 }
@@ -88,19 +97,19 @@
 }
 
 // Hosts that start together register together: only a second look shows all.
-asio::awaitable<void> fleet_view::registerSelf() {
-  if (std::exchange(Registering, true))
+asio::awaitable<void> fleet_view::join() {
+  if (std::exchange(Joining, true))
     co_return;
   asio::steady_timer Timer(Context);
-  co_await readMembers();
+  co_await readMembers(true);
   if (!Registered) {
     const result<void> Added = co_await Platform.addMember(Self);
     noteCall(failureOf(Added));
     Timer.expires_after(RegisterPause);
     co_await Timer.async_wait(UseTuple);
-    co_await readMembers();
+    co_await readMembers(false);
   }
-  Registering = false;
+  Joining = false;
 }
 
 void fleet_view::noteCall(const std::optional<error> &Failure) {
@@ -148,21 +157,8 @@
 
 bool fleet_view::mayRead() const { return isReader() || age() > ReadSelfAfter; }
 
-std::uint64_t fleet_view::contentVersion() const {
-  std::uint64_t Hash = 1;
-  for (const backend_registration &Backend : Directory.Backends) {
-    Hash = stableHash(Backend.Name, Hash);
-    Hash = stableHash(Backend.Service, Hash);
-    Hash = stableHash(toString(Backend.Address), Hash) + Backend.BornMs +
-           Backend.Slots + (Backend.Draining ? 7 : 0) +
-           (Backend.WarmUp > milliseconds(0) ? 13 : 0);
-  }
-  for (const fleet_member &Member : Peers.members())
-    Hash = stableHash(Member.Host + toString(Member.Address), Hash);
-  return Hash;
-}
-
 void fleet_view::publishBackends() {
+  remember(BackendLists, Directory.Backends);
   Handlers.OnBackends(Directory.Backends);
   logEvent(log_level::Info, "backends-changed",
            {{"count", Directory.Backends.size()},
@@ -170,6 +166,12 @@
                                             &backend_registration::Draining)}});
 }
 
+duration fleet_view::subscribePause() const {
+  if (!Directory.ReadAt)
+    return FirstSubscribeInterval;
+  return age() > StaleAfter ? RetryPause : SubscribeInterval;
+}
+
 duration fleet_view::readPause() const {
   return PlatformAnswers || isReader() ? ReadInterval : OutagePause;
 }
@@ -195,13 +197,15 @@
   if (!Registered)
     Listed.push_back(Self);
   std::ranges::sort(Listed);
+  MembersVersion = memberListVersion(Listed);
   Peers.setMembers(std::move(Listed));
 }
 
-asio::awaitable<void> fleet_view::readMembers() {
+asio::awaitable<void> fleet_view::readMembers(bool MayBeOld) {
   const time_point Asked = Clock.now();
   MembersAskedAt = Asked;
-  result<std::vector<fleet_member>> Listed = co_await Platform.readMembers();
+  result<std::vector<fleet_member>> Listed =
+      co_await Platform.readMembers(MayBeOld);
   noteCall(failureOf(Listed));
   if (!Listed)
     co_return;
@@ -282,20 +286,22 @@
   }
 }
 
+// From the host that told of it; from the platform if that host fails.
 asio::awaitable<void> fleet_view::fetchConfigFrom(std::string Host) {
-  const bool Read = co_await readConfig();
-  if (Read && SeenRevision >= AnnouncedRevision)
+  if (std::exchange(FetchingConfig, true))
     co_return;
-  const link_pointer Link = Peers.linkTo(Host);
-  if (!Link)
-    co_return;
-  wire::messageUnion Body = makeBody(wire::config_fetch_value());
-  const result<envelope> Answer =
-      co_await Link->request(std::move(Body), seconds(1));
-  const wire::config_document_value *Value =
-      Answer ? Answer->body.Asconfig_document() : nullptr;
-  if (Value)
-    takeConfig({Value->revision, Value->text}, Clock.now());
+  if (const link_pointer Link = Peers.linkTo(Host)) {
+    wire::messageUnion Body = makeBody(wire::config_fetch_value());
+    const result<envelope> Answer =
+        co_await Link->request(std::move(Body), FetchTimeout);
+    const wire::config_document_value *Value =
+        Answer ? Answer->body.Asconfig_document() : nullptr;
+    if (Value && Value->revision > SeenRevision)
+      takeConfig({Value->revision, Value->text}, Clock.now());
+  }
+  if (SeenRevision < AnnouncedRevision)
+    (void)co_await readConfig();
+  FetchingConfig = false;
 }
 
 void fleet_view::subscribe() {
@@ -316,7 +322,8 @@
 wire::view_subscribe_value fleet_view::makeSubscription() const {
   wire::view_subscribe_value Value;
   Value.host = Self.Host;
-  Value.directory_version = contentVersion();
+  Value.backends_version = newestVersion(BackendLists);
+  Value.members_version = MembersVersion;
   return Value;
 }
 
@@ -346,30 +353,34 @@
   asio::steady_timer Timer(Context);
   for (;;) {
     flushLog();
-    const time_point Now = Clock.now();
-    const bool Reader = isReader();
-    if (mayRead() && Now - BackendsAskedAt >= readPause())
-      asio::co_spawn(Context, readBackends(), asio::detached);
-    if (Reader)
-      lookAfterMembers();
-    else
-      ReaderSince = Now;
-    const duration Pause = age() > StaleAfter ? RetryPause : SubscribeInterval;
-    if (!Reader && Now - SubscribedAt >= Pause)
-      subscribe();
-    if (!Registered && !Registering && Now - MembersAskedAt >= ReregisterPause)
-      asio::co_spawn(Context, registerSelf(), asio::detached);
-    Timer.expires_after(TickInterval);
+    tick();
+    const bool Waits = !isComplete() && Clock.now() - StartedAt < ReadSelfAfter;
+    Timer.expires_after(Waits ? FirstTickInterval : TickInterval);
     co_await Timer.async_wait(UseTuple);
   }
 }
 
+void fleet_view::tick() {
+  const time_point Now = Clock.now();
+  const bool Reader = isReader();
+  if (mayRead() && Now - BackendsAskedAt >= readPause())
+    asio::co_spawn(Context, readBackends(), asio::detached);
+  if (Reader)
+    lookAfterMembers();
+  else
+    ReaderSince = Now;
+  if (!Reader && Now - SubscribedAt >= subscribePause())
+    subscribe();
+  if (!Registered && !Joining && Now - MembersAskedAt >= ReregisterPause)
+    asio::co_spawn(Context, join(), asio::detached);
+}
+
 void fleet_view::lookAfterMembers() {
   const time_point Now = Clock.now();
   const bool Settled = Now - ReaderSince > MembersSettleTime;
   const duration Interval = Settled ? MembersInterval : MembersIntervalAtStart;
   if (Now - MembersAskedAt >= Interval)
-    asio::co_spawn(Context, readMembers(), asio::detached);
+    asio::co_spawn(Context, readMembers(Settled), asio::detached);
   if (Now - ReaderSince > RemoveAfter)
     asio::co_spawn(Context, removeGone(), asio::detached);
 }
@@ -383,12 +394,21 @@
   Push.members_age_ms = wireMs(membersAge());
   Push.config_age_ms = wireMs(configAge());
   Push.config_revision = SeenRevision;
-  Push.directory_version = contentVersion();
-  Push.has_lists = Push.directory_version != To.DirectoryVersion;
-  if (Push.has_lists) {
-    Push.backends = toWire(Directory.Backends);
+  Push.backends_version = newestVersion(BackendLists);
+  Push.has_backends = Push.backends_version != To.BackendsVersion;
+  if (Push.has_backends) {
+    const backend_list_change Change =
+        changeSince(BackendLists, To.BackendsVersion);
+    Push.backends_base = Change.Base;
+    Push.backends = toWire(Change.Changed);
+    Push.removed = Change.Removed;
+    To.BackendsVersion = Push.backends_version;
+  }
+  Push.members_version = MembersVersion;
+  Push.has_members = Push.members_version != To.MembersVersion;
+  if (Push.has_members) {
     Push.members = toWire(Peers.members());
-    To.DirectoryVersion = Push.directory_version;
+    To.MembersVersion = Push.members_version;
   }
   envelope Message;
   Message.body = makeBody(std::move(Push));
@@ -408,24 +428,44 @@
 
 void fleet_view::receivePush(const link_pointer &Link,
                              const wire::view_push_value &Push) {
-  const time_point Now = Clock.now();
-  const time_point ReadAt = Now - milliseconds(Push.age_ms);
-  const time_point MembersAt = Now - milliseconds(Push.members_age_ms);
-  const time_point ConfigAt = Now - milliseconds(Push.config_age_ms);
-  const bool Newer = !Directory.SettledAt || ReadAt > *Directory.SettledAt;
-  if (Newer && Push.has_lists) {
-    if (takeSettledList(Directory, fromWire(Push.backends), ReadAt))
+  receiveBackends(Push);
+  receiveMembers(Push);
+  receiveConfigAge(Link, Push);
+}
+
+void fleet_view::receiveBackends(const wire::view_push_value &Push) {
+  const time_point ReadAt = Clock.now() - milliseconds(Push.age_ms);
+  if (Directory.SettledAt && ReadAt <= *Directory.SettledAt)
+    return;
+  if (Push.has_backends) {
+    std::optional<std::vector<backend_registration>> Next =
+        applyChange(BackendLists, {Push.backends_base, Push.backends_version,
+                                   fromWire(Push.backends), Push.removed});
+    if (!Next) {
+      // Based on another list than this host has: ask for the whole.
+      subscribe();
+      return;
+    }
+    if (takeSettledList(Directory, std::move(*Next), ReadAt))
       publishBackends();
-  } else if (Newer && Push.directory_version == contentVersion()) {
+  } else if (Push.backends_version == newestVersion(BackendLists)) {
     Directory.SettledAt = ReadAt;
   }
-  if (Push.has_lists && MembersAt > MembersReadAt.value_or(time_point())) {
-    MembersReadAt = MembersAt;
-    takeMembers(fromWire(Push.members));
-  }
+}
+
+void fleet_view::receiveMembers(const wire::view_push_value &Push) {
+  const time_point ReadAt = Clock.now() - milliseconds(Push.members_age_ms);
+  if (!Push.has_members || ReadAt <= MembersReadAt.value_or(time_point()))
+    return;
+  MembersReadAt = ReadAt;
+  takeMembers(fromWire(Push.members));
+}
+
+void fleet_view::receiveConfigAge(const link_pointer &Link,
+                                  const wire::view_push_value &Push) {
   if (Push.config_revision <= SeenRevision) {
     if (Push.config_revision == SeenRevision)
-      confirmConfig(ConfigAt);
+      confirmConfig(Clock.now() - milliseconds(Push.config_age_ms));
     return;
   }
   AnnouncedRevision = Push.config_revision;
@@ -441,7 +481,8 @@
     subscriber &Known = Subscribers[Value->host];
     Known.Link = Link;
     Known.HeardAt = Clock.now();
-    Known.DirectoryVersion = Value->directory_version;
+    Known.BackendsVersion = Value->backends_version;
+    Known.MembersVersion = Value->members_version;
     if (Directory.SettledAt)
       push(Known);
     if (age() > StaleAfter)
--- a/src/libs/entry_host/fleet_view.h
+++ b/src/libs/entry_host/fleet_view.h
@@ -11,6 +11,7 @@
 #include "entry_host/platform_port.h"
 
 #include "discovery/backend_directory.h"
+#include "discovery/backend_list_history.h"
 #include "routing/routing_config.h"
 #include "utils/clock.h"
 #include "utils/json.h"
@@ -58,15 +59,18 @@
   struct subscriber {
     std::weak_ptr<frame_link> Link;
     time_point HeardAt;
-    std::uint64_t DirectoryVersion = 0;
+    /// What it has.
+    std::uint64_t BackendsVersion = 0;
+    std::uint64_t MembersVersion = 0;
   };
 
   asio::awaitable<void> readFirstConfig();
-  asio::awaitable<void> registerSelf();
+  asio::awaitable<void> join();
   asio::awaitable<void> tickLoop();
+  void tick();
   asio::awaitable<void> watchConfigLoop();
   asio::awaitable<void> readBackends();
-  asio::awaitable<void> readMembers();
+  asio::awaitable<void> readMembers(bool MayBeOld);
   asio::awaitable<bool> readConfig();
   asio::awaitable<void> fetchConfigFrom(std::string Host);
   asio::awaitable<void> removeGone();
@@ -84,12 +88,16 @@
   void publishBackends();
   void noteCall(const std::optional<error> &Failure);
   void receivePush(const link_pointer &Link, const wire::view_push_value &Push);
+  void receiveBackends(const wire::view_push_value &Push);
+  void receiveMembers(const wire::view_push_value &Push);
+  void receiveConfigAge(const link_pointer &Link,
+                        const wire::view_push_value &Push);
+  [[nodiscard]] duration subscribePause() const;
   [[nodiscard]] duration readPause() const;
   [[nodiscard]] duration directoryAge() const;
   [[nodiscard]] duration configAge() const;
   [[nodiscard]] duration membersAge() const;
   [[nodiscard]] duration age() const;
-  [[nodiscard]] std::uint64_t contentVersion() const;
 
   asio::io_context &Context;
   const clock_source &Clock;
@@ -98,6 +106,8 @@
   fleet_member Self;
   fleet_view_handlers Handlers;
   backend_directory Directory;
+  backend_list_history BackendLists;
+  std::uint64_t MembersVersion = 0;
   std::optional<routing_config> Config;
   std::optional<config_document> Document;
   /// When the configuration held was last known to be the newest.
@@ -118,8 +128,9 @@
   bool PlatformAnswers = true;
   bool ReadingBackends = false;
   bool ReadingConfig = false;
+  bool FetchingConfig = false;
   bool Registered = false;
-  bool Registering = false;
+  bool Joining = false;
 };
 
 } // namespace coriandertray
--- a/src/libs/entry_host/peer_network.cpp
+++ b/src/libs/entry_host/peer_network.cpp
@@ -1,6 +1,5 @@
 #include "entry_host/peer_network.h"
 
-#include "membership/rendezvous.h"
 #include "utils/log.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -73,14 +72,21 @@
     if (Member.Capacity >= LeastCapacityShare * Largest)
       Eligible.push_back(Member.Host);
   logEvent(log_level::Info, "members-changed", {{"count", Members.size()}});
-  watchOnce();
+  assign();
 }
 
-std::vector<std::string> peer_network::ranked(std::string_view Duty) const {
-  return ownersOf(Duty, Eligible, RankCount);
+void peer_network::setDuties(std::set<std::string> Next) {
+  Next.emplace(ReaderDuty);
+  if (Next == Duties)
+    return;
+  Duties = std::move(Next);
+  assign();
 }
 
-void peer_network::watchDuty(const std::string &Duty) { Duties.insert(Duty); }
+void peer_network::assign() {
+  Assignment = assignDuties(Duties, Eligible, RankCount);
+  watchOnce();
+}
 
 bool peer_network::isUsable(const std::string &Host) const {
   if (Host == Self)
@@ -183,8 +189,7 @@
 
 void peer_network::watchOnce() {
   std::set<std::string> Wanted;
-  for (const std::string &Duty : Duties) {
-    const std::vector<std::string> Ranks = ranked(Duty);
+  for (const auto &[Duty, Ranks] : Assignment.Ranks) {
     const std::size_t Count = std::min(WatchedRanks, Ranks.size());
     Wanted.insert(Ranks.begin(),
                   Ranks.begin() + static_cast<std::ptrdiff_t>(Count));
--- a/src/libs/entry_host/peer_network.h
+++ b/src/libs/entry_host/peer_network.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "discovery/backend_registration.h"
+#include "membership/duty_assignment.h"
 #include "utils/clock.h"
 #include "wire/frame_link.h"
 
@@ -21,6 +22,9 @@
 
 using link_pointer = std::shared_ptr<frame_link>;
 
+/// The duty to read the platform for all hosts.
+inline constexpr std::string_view ReaderDuty = "reader";
+
 /// Keeps links to the hosts that have a duty towards this one. All members run
 /// on the thread of the io_context.
 class peer_network {
@@ -45,12 +49,15 @@
     return Members;
   }
 
+  /// Replaces the duties that there are beside the reader's.
+  void setDuties(std::set<std::string> Duties);
+
   /// \returns the hosts with the duty \p Duty, the first one that can be
   /// reached having it; this host is one of those that can.
-  [[nodiscard]] std::vector<std::string> ranked(std::string_view Duty) const;
-
-  /// Keeps links to the hosts with \p Duty from now on.
-  void watchDuty(const std::string &Duty);
+  [[nodiscard]] const std::vector<std::string> &
+  ranked(std::string_view Duty) const {
+    return ranksOf(Assignment, Duty);
+  }
 
   /// \returns whether \p Host is this one, or answered lately.
   [[nodiscard]] bool isUsable(const std::string &Host) const;
@@ -79,6 +86,7 @@
   };
 
   asio::awaitable<void> watchLoop();
+  void assign();
   void watchOnce();
   asio::awaitable<void> connectTo(fleet_member Member);
   asio::awaitable<void> pingOnce(std::string Host, link_pointer Link);
@@ -92,7 +100,8 @@
   std::function<duration()> OwnViewAge;
   std::vector<fleet_member> Members;
   std::vector<std::string> Eligible;
-  std::set<std::string> Duties;
+  std::set<std::string> Duties = {std::string(ReaderDuty)};
+  duty_assignment Assignment;
   std::map<std::string, peer> Peers;
   std::vector<std::weak_ptr<frame_link>> Incoming;
 };
--- a/src/libs/entry_host/platform_port.h
+++ b/src/libs/entry_host/platform_port.h
@@ -48,8 +48,10 @@
   virtual asio::awaitable<result<std::vector<backend_registration>>>
   readBackends() = 0;
 
-  /// Lists the hosts of this fleet.
-  virtual asio::awaitable<result<std::vector<fleet_member>>> readMembers() = 0;
+  /// Lists the hosts of this fleet, perhaps as they were seconds ago if
+  /// \p MayBeOld, which costs less.
+  virtual asio::awaitable<result<std::vector<fleet_member>>>
+  readMembers(bool MayBeOld) = 0;
 
   /// Adds \p Member, or puts it in the place of what its name had.
   virtual asio::awaitable<result<void>> addMember(fleet_member Member) = 0;
--- a/src/libs/entry_host/slot_broker.cpp
+++ b/src/libs/entry_host/slot_broker.cpp
@@ -23,8 +23,22 @@
 // How often one that waits checks that its allocator is still there.
 constexpr duration WaitCheck = milliseconds(100);
 constexpr std::size_t AllocatorsAsked = 2;
+// Pools asked for one request; another one may have room.
+constexpr int PoolsAsked = 2;
+constexpr std::string_view PoolUnknown = "pool-unknown";
 
-std::string dutyOf(const std::string &Service) { return "slots/" + Service; }
+std::string dutyOf(const std::string &Pool) { return "slots/" + Pool; }
+
+bool isRefusal(const slot_answer &Answer, std::string_view Reason) {
+  return Answer.Verdict == slot_verdict::Refused && Answer.Reason == Reason;
+}
+
+slot_answer refusePool(const slot_key &Key) {
+  slot_answer Answer;
+  Answer.Key = Key;
+  Answer.Reason = PoolUnknown;
+  return Answer;
+}
 
 std::uint64_t firstId() {
   // Another process of the same host must not reuse ids that are still held.
@@ -48,75 +62,120 @@
     : Context(Context), Clock(Clock), Peers(Peers), Self(std::move(Self)),
       Zone(std::move(Zone)), Retries(Retries), NextId(firstId()) {}
 
-service_allocation &slot_broker::allocation(const std::string &Service) {
-  const auto Found = Allocations.find(Service);
+const server_pool *slot_broker::findPool(const std::string &Name) const {
+  for (const auto &[Service, Split] : Services)
+    for (const server_pool &Pool : Split.Pools)
+      if (Pool.Name == Name)
+        return &Pool;
+  return nullptr;
+}
+
+const server_pool &slot_broker::choosePool(const std::string &Service) {
+  service_pools &Split = Services[Service];
+  if (Split.Pools.empty())
+    Split.Pools = splitIntoPools(Service, {});
+  return nextPool(Split);
+}
+
+// A host that allocates only for itself doesn't know what the others spend.
+retry_limits slot_broker::limitsOf(const std::string &Pool,
+                                   bool ForOthers) const {
+  retry_limits Limits = Retries;
+  for (const auto &[Service, Split] : Services)
+    if (std::ranges::find(Split.Pools, Pool, &server_pool::Name) !=
+        Split.Pools.end())
+      Limits.Slack /= static_cast<double>(Split.Pools.size());
+  const std::size_t Hosts = std::max<std::size_t>(1, Peers.members().size());
+  if (!ForOthers)
+    Limits.Slack /= static_cast<double>(Hosts);
+  return Limits;
+}
+
+service_allocation &slot_broker::allocation(const std::string &Name) {
+  const auto Found = Allocations.find(Name);
   if (Found != Allocations.end())
     return Found->second;
-  service_allocation &State = Allocations[Service];
-  State.Retries = Retries;
-  std::vector<backend_registration> Own;
-  std::ranges::copy_if(Backends, std::back_inserter(Own),
-                       [&Service](const backend_registration &Backend) {
-                         return Backend.Service == Service;
-                       });
-  coriandertray::setBackends(State, Own, Clock.now());
+  service_allocation &State = Allocations[Name];
+  if (const server_pool *Pool = findPool(Name))
+    coriandertray::setBackends(State, Pool->Servers, Clock.now());
   return State;
 }
 
-void slot_broker::setBackends(const std::vector<backend_registration> &Next) {
-  Backends = Next;
+void slot_broker::setBackends(
+    const std::vector<backend_registration> &Backends) {
   std::map<std::string, std::vector<backend_registration>> ByService;
-  for (const auto &[Service, State] : Allocations)
+  for (const auto &[Service, Split] : Services)
     ByService[Service];
-  for (const backend_registration &Backend : Backends) {
-    Peers.watchDuty(dutyOf(Backend.Service));
+  for (const backend_registration &Backend : Backends)
     ByService[Backend.Service].push_back(Backend);
+  std::set<std::string> Duties;
+  for (const auto &[Service, Servers] : ByService) {
+    service_pools &Split = Services[Service];
+    Split.Pools = splitIntoPools(Service, Servers);
+    for (const server_pool &Pool : Split.Pools)
+      Duties.insert(dutyOf(Pool.Name));
   }
-  for (const auto &[Service, Own] : ByService) {
-    coriandertray::setBackends(allocation(Service), Own, Clock.now());
-    serveWaiting(Service);
+  Peers.setDuties(std::move(Duties));
+  updateAllocations();
+}
+
+void slot_broker::updateAllocations() {
+  std::vector<std::string> Gone;
+  for (auto &[Name, State] : Allocations) {
+    if (const server_pool *Pool = findPool(Name)) {
+      coriandertray::setBackends(State, Pool->Servers, Clock.now());
+      serveWaiting(Name);
+      continue;
+    }
+    Gone.push_back(Name);
+    for (const slot_request &Request : std::exchange(State.Waiting, {}))
+      deliver(Name, refusePool(Request.Key));
   }
+  for (const std::string &Name : Gone)
+    Allocations.erase(Name);
 }
 
-void slot_broker::noteAllocator(const std::string &Service,
+void slot_broker::noteAllocator(const std::string &Pool,
                                 const std::string &Host) {
-  std::string &Current = CurrentAllocator[Service];
+  std::string &Current = CurrentAllocator[Pool];
   if (Current == Host)
     return;
   logEvent(log_level::Info, "allocator-changed",
-           {{"service", Service}, {"from", Current}, {"to", Host}});
+           {{"pool", Pool}, {"from", Current}, {"to", Host}});
   Current = Host;
   const time_point Now = Clock.now();
   for (const auto &[Id, Slot] : Held) {
-    if (Slot.Service != Service || Slot.Allocator == Host)
+    if (Slot.Pool != Pool || Slot.Allocator == Host)
       continue;
     const slot_use_report Report = {
         {Self, Id}, Slot.Backend, Slot.Work, Slot.Start, Slot.Deadline};
     if (Host == Self)
-      adoptUse(allocation(Service), Report, Now);
+      adoptUse(allocation(Pool), Report, Now);
     else
-      Peers.send(Host, makeBody(toWire(Report, Service, Now)));
+      Peers.send(Host, makeBody(toWire(Report, Pool, Now)));
   }
 }
 
-void slot_broker::askHere(const std::string &Service,
-                          const slot_request &Request,
+void slot_broker::askHere(const std::string &Pool, const slot_request &Request,
                           const pending_pointer &Pending) {
   Pending->Allocator = Self;
   Pending->Acknowledged = true;
-  service_allocation &State = allocation(Service);
+  service_allocation &State = allocation(Pool);
+  const std::vector<std::string> Asked = allocatorsOf(Pool);
+  const bool IsDuty = std::ranges::find(Asked, Self) + 1 != Asked.end();
+  State.Retries = limitsOf(Pool, IsDuty);
   const slot_answer Answer = askSlot(State, Request, Clock.now());
-  logBeliefs(Service, State);
+  logBeliefs(Pool, State);
   if (Answer.Verdict == slot_verdict::Queued)
     keepTurning();
   else
     Pending->Answer = Answer;
 }
 
+// Waits until the allocator has decided, or is found to be away.
 asio::awaitable<void>
-slot_broker::askAllocator(const std::string &Service,
-                          const slot_request &Request, pending_pointer Pending,
-                          std::shared_ptr<slot_wait> Wait) {
+slot_broker::awaitAnswer(const slot_request &Request, pending_pointer Pending,
+                         std::shared_ptr<slot_wait> Wait) {
   const time_point Asked = Clock.now();
   while (!Pending->Answer && !Wait->GivenUp) {
     const time_point Now = Clock.now();
@@ -135,42 +194,43 @@
     Pending->Turn.expires_at(std::min(Check, Request.Deadline));
     co_await Pending->Turn.async_wait(UseTuple);
   }
-  (void)Service;
+}
+
+// The hosts to ask in turn; the last one is this host, in any case.
+std::vector<std::string>
+slot_broker::allocatorsOf(const std::string &Pool) const {
+  std::vector<std::string> Allocators;
+  for (const std::string &Host : Peers.ranked(dutyOf(Pool)))
+    if (Allocators.size() < AllocatorsAsked && Peers.isUsable(Host))
+      Allocators.push_back(Host);
+  Allocators.push_back(Self);
+  return Allocators;
 }
 
 asio::awaitable<acquired_slot>
-slot_broker::acquire(std::string Service, slot_request Request,
-                     std::shared_ptr<slot_wait> Wait) {
+slot_broker::acquireFrom(std::string Pool, slot_request Request,
+                         std::shared_ptr<slot_wait> Wait) {
   const std::uint64_t Id = NextId++;
   Request.Key = {Self, Id};
-  Request.Zone = Zone;
-  Request.Asked = Clock.now();
   const auto Mine = std::make_shared<pending_slot>(Context);
   Pending[Id] = Mine;
   Wait->Wake = [Mine] { Mine->Turn.cancel(); };
-  std::vector<std::string> Allocators = Peers.ranked(dutyOf(Service));
-  std::erase_if(Allocators, [this](const std::string &Host) {
-    return !Peers.isUsable(Host);
-  });
-  if (Allocators.size() > AllocatorsAsked)
-    Allocators.resize(AllocatorsAsked);
-  Allocators.push_back(Self);
-  for (const std::string &Host : Allocators) {
+  for (const std::string &Host : allocatorsOf(Pool)) {
     Mine->Allocator = Host;
     Mine->Acknowledged = false;
-    noteAllocator(Service, Host);
-    if (Host == Self) {
-      askHere(Service, Request, Mine);
-    } else {
-      wire::slot_request_value Value = toWire(Request, Service, Clock.now());
-      Peers.send(Host, makeBody(std::move(Value)));
-    }
-    co_await askAllocator(Service, Request, Mine, Wait);
+    noteAllocator(Pool, Host);
+    if (Host == Self)
+      askHere(Pool, Request, Mine);
+    else
+      Peers.send(Host, makeBody(toWire(Request, Pool, Clock.now())));
+    co_await awaitAnswer(Request, Mine, Wait);
+    if (Mine->Answer && isRefusal(*Mine->Answer, PoolUnknown))
+      Mine->Answer.reset();
     const bool Over = Mine->Answer || Wait->GivenUp ||
                       Clock.now() >= Request.Deadline || Host == Self;
     if (Over)
       break;
-    endAt(Host, Service, {Request.Key, slot_outcome::NotUsed, {}});
+    endAt(Host, Pool, {Request.Key, slot_outcome::NotUsed, {}});
   }
   Wait->Wake = {};
   Pending.erase(Id);
@@ -179,26 +239,44 @@
   if (Mine->Answer) {
     Slot.Answer = *Mine->Answer;
     if (Slot.Answer.Verdict == slot_verdict::Granted)
-      Held[Id] = {Service,      Mine->Allocator, Slot.Answer.Backend,
+      Held[Id] = {Pool,         Mine->Allocator, Slot.Answer.Backend,
                   Request.Work, Clock.now(),     Request.Deadline};
     co_return Slot;
   }
-  endAt(Mine->Allocator, Service, {Request.Key, slot_outcome::NotUsed, {}});
+  endAt(Mine->Allocator, Pool, {Request.Key, slot_outcome::NotUsed, {}});
   Slot.Answer.Key = Request.Key;
   Slot.Answer.Reason = Wait->GivenUp ? "given-up" : "deadline";
   co_return Slot;
 }
 
-void slot_broker::endAt(const std::string &Allocator,
-                        const std::string &Service, const slot_end &End) {
+asio::awaitable<acquired_slot>
+slot_broker::acquire(std::string Service, slot_request Request,
+                     std::shared_ptr<slot_wait> Wait) {
+  Request.Zone = Zone;
+  Request.Asked = Clock.now();
+  acquired_slot Slot;
+  std::set<std::string> Asked;
+  for (int Round = 0; Round < PoolsAsked; ++Round) {
+    const std::string Pool = choosePool(Service).Name;
+    if (!Asked.insert(Pool).second)
+      break;
+    Slot = co_await acquireFrom(Pool, Request, Wait);
+    if (!isRefusal(Slot.Answer, "overloaded") || Wait->GivenUp)
+      break;
+  }
+  co_return Slot;
+}
+
+void slot_broker::endAt(const std::string &Allocator, const std::string &Pool,
+                        const slot_end &End) {
   if (Allocator != Self) {
-    Peers.send(Allocator, makeBody(toWire(End, Service)));
+    Peers.send(Allocator, makeBody(toWire(End, Pool)));
     return;
   }
-  service_allocation &State = allocation(Service);
+  service_allocation &State = allocation(Pool);
   endSlot(State, End, Clock.now());
-  logBeliefs(Service, State);
-  serveWaiting(Service);
+  logBeliefs(Pool, State);
+  serveWaiting(Pool);
 }
 
 void slot_broker::release(std::uint64_t Id, slot_outcome Outcome,
@@ -209,14 +287,13 @@
   const held_slot Slot = Found->second;
   Held.erase(Found);
   const slot_end End = {{Self, Id}, Outcome, Elapsed};
-  endAt(Slot.Allocator, Slot.Service, End);
-  const std::string &Current = CurrentAllocator[Slot.Service];
+  endAt(Slot.Allocator, Slot.Pool, End);
+  const std::string &Current = CurrentAllocator[Slot.Pool];
   if (Current != Slot.Allocator && !Current.empty())
-    endAt(Current, Slot.Service, End);
+    endAt(Current, Slot.Pool, End);
 }
 
-void slot_broker::deliver(const std::string &Service,
-                          const slot_answer &Answer) {
+void slot_broker::deliver(const std::string &Pool, const slot_answer &Answer) {
   if (Answer.Key.Host != Self) {
     const auto Asker = Askers.find(Answer.Key.Host);
     const link_pointer Link =
@@ -233,25 +310,25 @@
     Found->second->Turn.cancel();
     return;
   }
+  if (Answer.Verdict != slot_verdict::Granted)
+    return;
   // Nobody waits for it any more.
-  endSlot(allocation(Service), {Answer.Key, slot_outcome::NotUsed, {}},
+  endSlot(allocation(Pool), {Answer.Key, slot_outcome::NotUsed, {}},
           Clock.now());
 }
 
-void slot_broker::serveWaiting(const std::string &Service) {
-  service_allocation &State = allocation(Service);
+void slot_broker::serveWaiting(const std::string &Pool) {
+  service_allocation &State = allocation(Pool);
   for (const slot_answer &Answer : advance(State, Clock.now()))
-    deliver(Service, Answer);
+    deliver(Pool, Answer);
 }
 
-void slot_broker::logBeliefs(const std::string &Service,
+void slot_broker::logBeliefs(const std::string &Pool,
                              service_allocation &State) {
-  if (CurrentAllocator[Service] != Self && State.Waiting.empty())
-    return;
   for (const belief_change &Change : takeBeliefChanges(State, Clock.now()))
     logEvent(log_level::Info,
              Change.Suspected ? "backend-suspected" : "backend-trusted",
-             {{"service", Service},
+             {{"pool", Pool},
               {"backend_server", Change.Backend},
               {"sick_probability", Change.Probability},
               {"in_flight", Change.InFlight}});
@@ -284,17 +361,40 @@
   Found->second->Turn.cancel();
 }
 
-bool slot_broker::receive(const link_pointer &Link, const envelope &Message) {
+void slot_broker::receiveRequest(const link_pointer &Link,
+                                 const wire::slot_request_value &Value) {
   const time_point Now = Clock.now();
+  Askers[Value.host] = Link;
+  const slot_request Request = fromWire(Value, Now);
+  if (!findPool(Value.pool)) {
+    // The asker has another list of backend servers than this host.
+    deliver(Value.pool, refusePool(Request.Key));
+    return;
+  }
+  service_allocation &State = allocation(Value.pool);
+  State.Retries = limitsOf(Value.pool, true);
+  const slot_answer Answer = askSlot(State, Request, Now);
+  deliver(Value.pool, Answer);
+  logBeliefs(Value.pool, State);
+  if (Answer.Verdict == slot_verdict::Queued)
+    keepTurning();
+}
+
+// A grant that came too late is given back without the name of its pool.
+void slot_broker::receiveEnd(const wire::slot_end_value &Value) {
+  const slot_end End = fromWire(Value);
+  for (auto &[Pool, State] : Allocations) {
+    if (!Value.pool.empty() && Value.pool != Pool)
+      continue;
+    endSlot(State, End, Clock.now());
+    logBeliefs(Pool, State);
+    serveWaiting(Pool);
+  }
+}
+
+bool slot_broker::receive(const link_pointer &Link, const envelope &Message) {
   if (const auto *Value = Message.body.Asslot_request()) {
-    Askers[Value->host] = Link;
-    service_allocation &State = allocation(Value->service);
-    const slot_request Request = fromWire(*Value, Now);
-    const slot_answer Answer = askSlot(State, Request, Now);
-    deliver(Value->service, Answer);
-    logBeliefs(Value->service, State);
-    if (Answer.Verdict == slot_verdict::Queued)
-      keepTurning();
+    receiveRequest(Link, *Value);
     return true;
   }
   if (const auto *Value = Message.body.Asslot_answer()) {
@@ -302,18 +402,13 @@
     return true;
   }
   if (const auto *Value = Message.body.Asslot_end()) {
-    const slot_end End = fromWire(*Value);
-    for (auto &[Service, State] : Allocations) {
-      if (!Value->service.empty() && Value->service != Service)
-        continue;
-      endSlot(State, End, Now);
-      logBeliefs(Service, State);
-      serveWaiting(Service);
-    }
+    receiveEnd(*Value);
     return true;
   }
   if (const auto *Value = Message.body.Asslot_use()) {
-    adoptUse(allocation(Value->service), fromWire(*Value, Now), Now);
+    const time_point Now = Clock.now();
+    if (findPool(Value->pool))
+      adoptUse(allocation(Value->pool), fromWire(*Value, Now), Now);
     return true;
   }
   return false;
@@ -335,15 +430,18 @@
   while (SomebodyWaits()) {
     Timer.expires_after(TurnInterval);
     co_await Timer.async_wait(UseTuple);
-    for (const auto &[Service, State] : Allocations)
-      serveWaiting(Service);
+    for (const auto &[Pool, State] : Allocations)
+      serveWaiting(Pool);
   }
   Turning = false;
 }
 
 json::object slot_broker::dump() const {
-  json::object Services;
-  for (const auto &[Service, State] : Allocations) {
+  json::object Pools;
+  for (const auto &[Pool, Host] : CurrentAllocator)
+    Pools[Pool] = json::object{{"allocator", Host}};
+  json::object Allocated;
+  for (const auto &[Pool, State] : Allocations) {
     json::array Servers;
     for (const auto &[Name, Backend] : State.Backends)
       Servers.push_back({{"name", Name},
@@ -352,13 +450,12 @@
                          {"in_use", Backend.Uses.size()},
                          {"slots", Backend.Registration.Slots},
                          {"sick_probability", Backend.Probability}});
-    const auto Current = CurrentAllocator.find(Service);
-    Services[Service] = json::object{
-        {"allocator", Current == CurrentAllocator.end() ? "" : Current->second},
-        {"waiting", State.Waiting.size()},
-        {"backend_servers", std::move(Servers)}};
+    Allocated[Pool] = json::object{{"waiting", State.Waiting.size()},
+                                   {"backend_servers", std::move(Servers)}};
   }
-  return {{"slots_held", Held.size()}, {"services", std::move(Services)}};
+  return {{"slots_held", Held.size()},
+          {"pools", std::move(Pools)},
+          {"allocated_here", std::move(Allocated)}};
 }
 
 } // namespace coriandertray
--- a/src/libs/entry_host/slot_broker.h
+++ b/src/libs/entry_host/slot_broker.h
@@ -1,14 +1,15 @@
 /// \file
 /// Gets slots for the requests of this host from the allocators of the
-/// services, and runs the allocators that are this host's duty.
+/// services' pools, and runs the allocators that are this host's duty.
 ///
-/// The allocator of a service is the first host in the order of its duty that
-/// can be reached. A host that reaches none of the first ones allocates for
-/// itself, by what it last read, until one answers again.
+/// The allocator of a pool is the first host in the order of its duty that can
+/// be reached. A host that reaches none of the first ones allocates for itself,
+/// by what it last read, until one answers again.
 #pragma once
 
 #include "entry_host/peer_network.h"
 
+#include "allocation/server_pools.h"
 #include "allocation/service_allocation.h"
 #include "allocation/slot_messages.h"
 #include "utils/clock.h"
@@ -23,6 +24,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -77,7 +79,7 @@
     std::optional<slot_answer> Answer;
   };
   struct held_slot {
-    std::string Service;
+    std::string Pool;
     std::string Allocator;
     std::string Backend;
     std::string Work;
@@ -86,19 +88,31 @@
   };
   using pending_pointer = std::shared_ptr<pending_slot>;
 
-  service_allocation &allocation(const std::string &Service);
-  asio::awaitable<void> askAllocator(const std::string &Service,
-                                     const slot_request &Request,
-                                     pending_pointer Pending,
-                                     std::shared_ptr<slot_wait> Wait);
-  void askHere(const std::string &Service, const slot_request &Request,
+  service_allocation &allocation(const std::string &Pool);
+  void updateAllocations();
+  [[nodiscard]] const server_pool *findPool(const std::string &Pool) const;
+  [[nodiscard]] const server_pool &choosePool(const std::string &Service);
+  [[nodiscard]] retry_limits limitsOf(const std::string &Pool,
+                                      bool ForOthers) const;
+  asio::awaitable<acquired_slot> acquireFrom(std::string Pool,
+                                             slot_request Request,
+                                             std::shared_ptr<slot_wait> Wait);
+  [[nodiscard]] std::vector<std::string>
+  allocatorsOf(const std::string &Pool) const;
+  asio::awaitable<void> awaitAnswer(const slot_request &Request,
+                                    pending_pointer Pending,
+                                    std::shared_ptr<slot_wait> Wait);
+  void askHere(const std::string &Pool, const slot_request &Request,
                const pending_pointer &Pending);
-  void noteAllocator(const std::string &Service, const std::string &Host);
-  void endAt(const std::string &Allocator, const std::string &Service,
+  void noteAllocator(const std::string &Pool, const std::string &Host);
+  void endAt(const std::string &Allocator, const std::string &Pool,
              const slot_end &End);
-  void deliver(const std::string &Service, const slot_answer &Answer);
-  void serveWaiting(const std::string &Service);
-  void logBeliefs(const std::string &Service, service_allocation &State);
+  void deliver(const std::string &Pool, const slot_answer &Answer);
+  void serveWaiting(const std::string &Pool);
+  void logBeliefs(const std::string &Pool, service_allocation &State);
+  void receiveRequest(const link_pointer &Link,
+                      const wire::slot_request_value &Value);
+  void receiveEnd(const wire::slot_end_value &Value);
   void receiveAnswer(const link_pointer &Link,
                      const wire::slot_answer_value &Value);
   asio::awaitable<void> turnLoop();
@@ -110,10 +124,12 @@
   std::string Self;
   std::string Zone;
   retry_limits Retries;
+  std::map<std::string, service_pools> Services;
+  /// By pool; only those that were asked for here.
   std::map<std::string, service_allocation> Allocations;
-  std::vector<backend_registration> Backends;
   std::map<std::uint64_t, pending_pointer> Pending;
   std::map<std::uint64_t, held_slot> Held;
+  /// By pool.
   std::map<std::string, std::string> CurrentAllocator;
   std::map<std::string, std::weak_ptr<frame_link>> Askers;
   std::uint64_t NextId;
--- a/src/libs/entry_host/slot_wire.cpp
+++ b/src/libs/entry_host/slot_wire.cpp
@@ -14,12 +14,12 @@
 } // namespace
 
 wire::slot_request_value toWire(const slot_request &Request,
-                                const std::string &Service, time_point Now) {
+                                const std::string &Pool, time_point Now) {
   wire::slot_request_value Value;
   Value.id = Request.Key.Id;
   Value.host = Request.Key.Host;
   Value.zone = Request.Zone;
-  Value.service = Service;
+  Value.pool = Pool;
   Value.work = Request.Work;
   Value.idempotent = Request.Idempotent;
   Value.priority = static_cast<std::uint8_t>(std::min(Request.Priority, 255U));
@@ -79,11 +79,11 @@
   return Answer;
 }
 
-wire::slot_end_value toWire(const slot_end &End, const std::string &Service) {
+wire::slot_end_value toWire(const slot_end &End, const std::string &Pool) {
   wire::slot_end_value Value;
   Value.id = End.Key.Id;
   Value.host = End.Key.Host;
-  Value.service = Service;
+  Value.pool = Pool;
   Value.outcome = static_cast<std::uint8_t>(End.Outcome);
   Value.elapsed_ms = wireMs(End.Elapsed);
   return Value;
@@ -99,11 +99,11 @@
 }
 
 wire::slot_use_value toWire(const slot_use_report &Report,
-                            const std::string &Service, time_point Now) {
+                            const std::string &Pool, time_point Now) {
   wire::slot_use_value Value;
   Value.id = Report.Key.Id;
   Value.host = Report.Key.Host;
-  Value.service = Service;
+  Value.pool = Pool;
   Value.backend_server = Report.Backend;
   Value.work = Report.Work;
   Value.age_ms = wireMs(Now - Report.Start);
--- a/src/libs/entry_host/slot_wire.h
+++ b/src/libs/entry_host/slot_wire.h
@@ -15,7 +15,7 @@
 namespace coriandertray {
 
 [[nodiscard]] wire::slot_request_value
-toWire(const slot_request &Request, const std::string &Service, time_point Now);
+toWire(const slot_request &Request, const std::string &Pool, time_point Now);
 [[nodiscard]] slot_request fromWire(const wire::slot_request_value &Value,
                                     time_point Now);
 
@@ -25,12 +25,11 @@
                                            const std::string &Self);
 
 [[nodiscard]] wire::slot_end_value toWire(const slot_end &End,
-                                          const std::string &Service);
+                                          const std::string &Pool);
 [[nodiscard]] slot_end fromWire(const wire::slot_end_value &Value);
 
-[[nodiscard]] wire::slot_use_value toWire(const slot_use_report &Report,
-                                          const std::string &Service,
-                                          time_point Now);
+[[nodiscard]] wire::slot_use_value
+toWire(const slot_use_report &Report, const std::string &Pool, time_point Now);
 [[nodiscard]] slot_use_report fromWire(const wire::slot_use_value &Value,
                                        time_point Now);
 
--- /dev/null
+++ b/tests/auto/discovery/tst_backend_list_history.cpp
@@ -0,0 +1,75 @@
+#include "discovery/backend_list_history.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+using namespace coriandertray;
+
+namespace {
+
+backend_registration makeEntry(int Number, bool Draining = false) {
+  return {"server-" + std::to_string(Number),
+          "service",
+          {"10.0.0.1", 80},
+          "a",
+          3,
+          Draining,
+          {},
+          1};
+}
+
+std::vector<backend_registration> drawList() {
+  std::vector<backend_registration> Backends;
+  for (int Number = 0; Number < 12; ++Number)
+    if (*rc::gen::inRange(0, 3) > 0)
+      Backends.push_back(makeEntry(Number, *rc::gen::arbitrary<bool>()));
+  std::ranges::sort(Backends, {}, &backend_registration::Name);
+  return Backends;
+}
+
+} // namespace
+
+TEST_CASE("a host that has an older list gets the newest by what changed") {
+  rc::check("for any lists", [] {
+    backend_list_history Sender;
+    backend_list_history Receiver;
+    const int Count = *rc::gen::inRange(1, 30);
+    for (int Step = 0; Step < Count; ++Step) {
+      remember(Sender, drawList());
+      if (*rc::gen::inRange(0, 3) > 0)
+        continue;
+      const backend_list_change Change =
+          changeSince(Sender, newestVersion(Receiver));
+      const auto Applied = applyChange(Receiver, Change);
+      RC_ASSERT(Applied.has_value());
+      RC_ASSERT(*Applied == Sender.Versions.back().Backends);
+      RC_ASSERT(listVersion(*Applied) == Change.Version);
+      remember(Receiver, *Applied);
+    }
+  });
+}
+
+TEST_CASE("a change of another list than the one held is not applied") {
+  backend_list_history Sender;
+  remember(Sender, {makeEntry(1)});
+  const std::uint64_t Base = newestVersion(Sender);
+  remember(Sender, {makeEntry(1), makeEntry(2)});
+  backend_list_history Receiver;
+  remember(Receiver, {makeEntry(3)});
+  CHECK_FALSE(applyChange(Receiver, changeSince(Sender, Base)).has_value());
+  // A base that isn't remembered gives the whole list.
+  const backend_list_change Whole = changeSince(Sender, 77);
+  CHECK(Whole.Base == 0);
+  CHECK(applyChange(Receiver, Whole)->size() == 2);
+}
+
+TEST_CASE("only that a server is warming up is part of the version") {
+  backend_registration Cold = makeEntry(1);
+  Cold.WarmUp = milliseconds(900);
+  backend_registration Colder = Cold;
+  Colder.WarmUp = milliseconds(1500);
+  CHECK(listVersion({Cold}) == listVersion({Colder}));
+  CHECK(listVersion({Cold}) != listVersion({makeEntry(1)}));
+}
--- a/tests/auto/entry_host/fleet_fixture.h
+++ b/tests/auto/entry_host/fleet_fixture.h
@@ -64,7 +64,8 @@
     co_return Backends;
   }
 
-  asio::awaitable<result<std::vector<fleet_member>>> readMembers() override {
+  asio::awaitable<result<std::vector<fleet_member>>>
+  readMembers(bool) override {
     if (Down)
       co_return fail(error_code::PlatformUnreachable, "down");
     co_return Members;
--- a/tests/auto/entry_host/tst_fleet.cpp
+++ b/tests/auto/entry_host/tst_fleet.cpp
@@ -17,12 +17,11 @@
 
 std::string allocatorOf(const entry_host &Host) {
   const json::object Dump = Host.dump();
-  const json::object &Services =
-      Dump.at("slots").as_object().at("services").as_object();
-  if (!Services.contains("one"))
+  const json::object &Pools =
+      Dump.at("slots").as_object().at("pools").as_object();
+  if (!Pools.contains("one"))
     return {};
-  return std::string(
-      Services.at("one").as_object().at("allocator").as_string());
+  return std::string(Pools.at("one").as_object().at("allocator").as_string());
 }
 
 } // namespace
--- /dev/null
+++ b/tests/auto/membership/tst_duty_assignment.cpp
@@ -0,0 +1,74 @@
+#include "membership/duty_assignment.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+
+using namespace coriandertray;
+
+namespace {
+
+std::set<std::string> makeDuties(int Count) {
+  std::set<std::string> Duties;
+  for (int Number = 0; Number < Count; ++Number)
+    Duties.insert("duty-" + std::to_string(Number));
+  return Duties;
+}
+
+std::vector<std::string> makeHosts(int Count) {
+  std::vector<std::string> Hosts;
+  for (int Number = 0; Number < Count; ++Number)
+    Hosts.push_back("host-" + std::to_string(Number));
+  return Hosts;
+}
+
+} // namespace
+
+TEST_CASE("no host comes first for more than its even share of the duties") {
+  rc::check("whatever the numbers", [] {
+    const int DutyCount = *rc::gen::inRange(1, 40);
+    const int HostCount = *rc::gen::inRange(1, 40);
+    const duty_assignment Assignment =
+        assignDuties(makeDuties(DutyCount), makeHosts(HostCount), 4);
+    std::map<std::string, int> Firsts;
+    RC_ASSERT(Assignment.Ranks.size() == static_cast<std::size_t>(DutyCount));
+    for (const auto &[Duty, Ranks] : Assignment.Ranks) {
+      RC_ASSERT(Ranks.size() ==
+                static_cast<std::size_t>(std::min(4, HostCount)));
+      RC_ASSERT(std::set<std::string>(Ranks.begin(), Ranks.end()).size() ==
+                Ranks.size());
+      ++Firsts[Ranks.front()];
+    }
+    const int Share = (DutyCount + HostCount - 1) / HostCount;
+    for (const auto &[Host, Count] : Firsts)
+      RC_ASSERT(Count <= Share);
+  });
+}
+
+TEST_CASE("few duties move when a host leaves") {
+  constexpr int DutyCount = 15;
+  constexpr int HostCount = 6;
+  const std::vector<std::string> Hosts = makeHosts(HostCount);
+  const duty_assignment Before = assignDuties(makeDuties(DutyCount), Hosts, 4);
+  int Moved = 0;
+  for (const std::string &Left : Hosts) {
+    std::vector<std::string> Others = Hosts;
+    std::erase(Others, Left);
+    const duty_assignment After =
+        assignDuties(makeDuties(DutyCount), Others, 4);
+    for (const auto &[Duty, Ranks] : Before.Ranks)
+      Moved +=
+          Ranks.front() != Left && Ranks.front() != ranksOf(After, Duty).front()
+              ? 1
+              : 0;
+  }
+  // Beside those of the host that left, a quarter at most.
+  CHECK(Moved <= DutyCount * HostCount / 4);
+}
+
+TEST_CASE("a duty that isn't assigned has nobody") {
+  CHECK(ranksOf(assignDuties(makeDuties(2), {}, 4), "duty-0").empty());
+  CHECK(ranksOf(assignDuties(makeDuties(2), makeHosts(3), 4), "x").empty());
+}
--- a/tests/auto/platform/store_stand_in.h
+++ b/tests/auto/platform/store_stand_in.h
@@ -53,6 +53,13 @@
     Events.push_back({Revision, Kind, Object, false});
   }
 
+  /// Removes an object as a backend server that left.
+  void remove(const std::string &Kind, const std::string &Name) {
+    ++Revision;
+    Events.push_back({Revision, Kind, Objects[Kind][Name], true});
+    Objects[Kind].erase(Name);
+  }
+
   [[nodiscard]] bool holds(const std::string &Kind, const std::string &Name) {
     return Objects[Kind].contains(Name);
   }
--- a/tests/auto/platform/tst_object_store.cpp
+++ b/tests/auto/platform/tst_object_store.cpp
@@ -15,7 +15,7 @@
 const socket_address StoreAddress = {"127.97.1.1", 18'197};
 
 struct stored {
-  stored() : StandIn(Context), Store(Context, StoreAddress) {
+  stored() : StandIn(Context), Store(Context, Clock, StoreAddress) {
     REQUIRE(StandIn.listen(StoreAddress).has_value());
   }
 
@@ -32,6 +32,7 @@
   }
 
   asio::io_context Context;
+  manual_clock Clock;
   store_stand_in StandIn;
   platform::object_store Store;
 };
@@ -110,7 +111,7 @@
     REQUIRE_FALSE(Refused);
     CHECK(Refused.error().Code == error_code::PlatformUnreachable);
     Case.StandIn.Faults = {.Down = true};
-    const auto Down = co_await Case.Store.readMembers();
+    const auto Down = co_await Case.Store.readMembers(false);
     REQUIRE_FALSE(Down);
     CHECK(Down.error().Code == error_code::PlatformUnreachable);
   });
@@ -125,7 +126,7 @@
     Case.StandIn.Faults = {};
     Member.Address.Port = 7541;
     CHECK(co_await Case.Store.addMember(Member));
-    const auto Listed = co_await Case.Store.readMembers();
+    const auto Listed = co_await Case.Store.readMembers(false);
     REQUIRE(Listed);
     CHECK(*Listed == std::vector<fleet_member>{Member});
     CHECK(co_await Case.Store.removeMember("host-1"));
@@ -133,3 +134,47 @@
     CHECK_FALSE(Case.StandIn.holds("coriandertray-hosts", "host-1"));
   });
 }
+
+TEST_CASE("between two lists of many pages only what changed is asked for") {
+  stored Case;
+  Case.StandIn.PageSize = 4;
+  for (int Number = 0; Number < 20; ++Number)
+    Case.StandIn.put("servers", "s" + std::to_string(Number), backendEntry());
+  Case.run([&]() -> asio::awaitable<void> {
+    CHECK((co_await Case.Store.readBackends())->size() == 20);
+    const int AfterList = Case.StandIn.Calls;
+    Case.StandIn.put("servers", "s3", backendEntry("draining"));
+    Case.StandIn.put("servers", "new", backendEntry());
+    Case.StandIn.put("servers", "s4", backendEntry("nonsense"));
+    Case.StandIn.remove("servers", "s5");
+    const auto Changed = co_await Case.Store.readBackends();
+    REQUIRE(Changed.has_value());
+    CHECK(Case.StandIn.Calls == AfterList + 1);
+    // One more, one that can't be read any more, and one that is gone.
+    CHECK(Changed->size() == 19);
+    const auto Drained =
+        std::ranges::find(*Changed, "s3", &backend_registration::Name);
+    REQUIRE(Drained != Changed->end());
+    CHECK(Drained->Draining);
+  });
+}
+
+TEST_CASE("what a watch misses is found by the next list") {
+  stored Case;
+  Case.StandIn.PageSize = 4;
+  for (int Number = 0; Number < 8; ++Number)
+    Case.StandIn.put("servers", "s" + std::to_string(Number), backendEntry());
+  Case.run([&]() -> asio::awaitable<void> {
+    CHECK((co_await Case.Store.readBackends())->size() == 8);
+    Case.StandIn.Faults.WatchesHearNothing = true;
+    Case.StandIn.put("servers", "new", backendEntry());
+    CHECK((co_await Case.Store.readBackends())->size() == 8);
+    Case.Clock.advance(seconds(2));
+    CHECK((co_await Case.Store.readBackends())->size() == 9);
+    // A history that is gone is read anew at once.
+    Case.StandIn.Faults = {};
+    Case.StandIn.Faults.HistoryGone = true;
+    Case.StandIn.put("servers", "newer", backendEntry());
+    CHECK((co_await Case.Store.readBackends())->size() == 10);
+  });
+}
