Host: Deputies read when asked; a fault soak; smaller files

The limits on repeats that a changed settings file gives never reached the allocators, and the file was read on SIGHUP only.

Change: a deputy reads from the moment it is asked; hosts ask the next ones in turn; what each host reads for itself is spread over 10 ms a host.

--- a/scripts/lib/schemas.py
+++ b/scripts/lib/schemas.py
@@ -103,6 +103,8 @@
 }, {
     "first_internal_port": number("for other hosts; the next one serves "
                                   "metrics and state", 1, 65535, 7540),
+    "peer_address": {**ADDRESS, "description":
+                     "where other hosts reach it, if not where it listens"},
     "cpu_share": {"type": "number", "minimum": 0, "default": 1.0,
                   "description": "cores that the process may use"},
     "retry_ratio": {"type": "number", "minimum": 0, "default": 0.2,
--- a/src/libs/allocation/retry_window.cpp
+++ b/src/libs/allocation/retry_window.cpp
@@ -22,6 +22,12 @@
 
 } // namespace
 
+retry_limits partOf(const retry_limits &Limits, std::size_t Parts) {
+  retry_limits Part = Limits;
+  Part.Slack /= static_cast<double>(Parts);
+  return Part;
+}
+
 void noteRequest(retry_window &Window, const retry_limits &Limits,
                  time_point Now) {
   ++currentSlice(Window, Limits, Now).Requests;
--- a/src/libs/allocation/retry_window.h
+++ b/src/libs/allocation/retry_window.h
@@ -4,6 +4,7 @@
 
 #include "utils/clock.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 
@@ -17,6 +18,11 @@
   auto operator<=>(const retry_limits &) const = default;
 };
 
+/// \returns the limits of one of \p Parts that spend the slack of \p Limits
+/// together. \pre \p Parts is above zero.
+[[nodiscard]] retry_limits partOf(const retry_limits &Limits,
+                                  std::size_t Parts);
+
 /// Counts of first requests and repeats, in slices of the window. Plain state;
 /// not thread-safe.
 struct retry_window {
--- a/src/libs/entry_host/entry_host.cpp
+++ b/src/libs/entry_host/entry_host.cpp
@@ -55,8 +55,8 @@
       Slots(Context, Clock, Peers, this->Settings.Host, this->Settings.Zone,
             this->Settings.Retries),
       View(Context, Clock, Platform, Peers,
-           {this->Settings.Host, this->Settings.Zone, this->Settings.Peers,
-            this->Settings.Capacity},
+           {this->Settings.Host, this->Settings.Zone,
+            this->Settings.AdvertisedPeers, this->Settings.Capacity},
            {[this](const routing_config &Config) { takeConfig(Config); },
             [this](const std::vector<backend_registration> &Backends) {
               Slots.setBackends(Backends);
@@ -105,6 +105,7 @@
 void entry_host::reload(const host_settings &Changed) {
   Settings.GracePeriod = Changed.GracePeriod;
   Settings.Retries = Changed.Retries;
+  Slots.setRetries(Changed.Retries);
   logEvent(log_level::Info, "reloaded",
            {{"retry_ratio", Changed.Retries.Ratio},
             {"retry_slack", Changed.Retries.Slack}});
--- a/src/libs/entry_host/fleet_view.cpp
+++ b/src/libs/entry_host/fleet_view.cpp
@@ -1,6 +1,5 @@
 #include "entry_host/fleet_view.h"
 
-#include "entry_host/slot_wire.h"
 #include "utils/hash.h"
 #include "utils/log.h"
 
@@ -23,25 +22,21 @@
 constexpr duration TickInterval = milliseconds(150);
 // Shortly after its start a host waits for the first lists.
 constexpr duration FirstTickInterval = milliseconds(25);
-constexpr duration SubscribeInterval = milliseconds(900);
-// The link to the reader may not be open yet, or the reader have no list.
-constexpr duration FirstSubscribeInterval = milliseconds(50);
 // How long a watch of the configuration waits; it confirms that there is none
 // newer.
 constexpr duration ConfigWait = milliseconds(500);
 constexpr duration RetryPause = milliseconds(300);
 constexpr duration MissingConfigPause = seconds(2);
-constexpr duration FetchTimeout = milliseconds(400);
 // While the platform doesn't answer, only the reader asks often.
 constexpr duration OutagePause = milliseconds(1500);
 constexpr duration RegisterPause = milliseconds(400);
 constexpr int LooksAfterJoining = 3;
-// A view older than this makes a host look for another reader; one older than
-// the next makes it read itself.
+// A view older than this makes a host ask the next ones in the reader's order;
+// one older than the next makes it read itself. The more hosts there are, the
+// more these reads are spread.
 constexpr duration StaleAfter = milliseconds(1200);
-constexpr duration ReadSelfAfter = milliseconds(1500);
-// A host that was asked for a newer view than it had reads for this long.
-constexpr duration DeputyTime = milliseconds(2000);
+constexpr duration ReadSelfAfter = milliseconds(1700);
+constexpr duration ReadSelfSpread = milliseconds(10);
 // A missing route is only reported by a host whose configuration was confirmed
 // within this time.
 constexpr duration ConfirmedFor = milliseconds(2500);
@@ -49,7 +44,6 @@
 constexpr duration MembersIntervalAtStart = seconds(1);
 constexpr duration ReregisterPause = seconds(1);
 constexpr duration MembersSettleTime = seconds(4);
-constexpr duration SubscriberMemory = seconds(3);
 // The age of what was never read.
 constexpr duration LongAgo = seconds(3600);
 // A host that the reader hasn't heard from for so long is removed.
@@ -67,11 +61,6 @@
   return Hash;
 }
 
-std::uint32_t wireMs(duration Age) {
-  return static_cast<std::uint32_t>(
-      std::chrono::duration_cast<milliseconds>(Age).count());
-}
-
 } // namespace
 
 fleet_view::fleet_view(asio::io_context &Context, const clock_source &Clock,
@@ -156,6 +145,8 @@
   return std::max(directoryAge(), configAge());
 }
 
+bool fleet_view::isStale() const { return age() > StaleAfter; }
+
 bool fleet_view::configIsCurrent() const {
   return ConfigConfirmedAt && configAge() < ConfirmedFor;
 }
@@ -172,7 +163,16 @@
   return Joined && MembersReadAt && readerHost() == Self.Host;
 }
 
-bool fleet_view::mayRead() const { return isReader() || age() > ReadSelfAfter; }
+bool fleet_view::mayRead() const {
+  return isReader() || Clock.now() < DeputyUntil || age() > readSelfAfter();
+}
+
+duration fleet_view::readSelfAfter() const {
+  constexpr std::uint64_t Steps = 1024;
+  const std::uint64_t Own = stableHash(Self.Host) % Steps;
+  const auto Most = ReadSelfSpread * Peers.members().size();
+  return ReadSelfAfter + Most * Own / Steps;
+}
 
 void fleet_view::publishBackends() {
   remember(BackendLists, Directory.Backends);
@@ -183,14 +183,13 @@
                                             &backend_registration::Draining)}});
 }
 
-duration fleet_view::subscribePause() const {
-  if (!Directory.ReadAt)
-    return FirstSubscribeInterval;
-  return age() > StaleAfter ? RetryPause : SubscribeInterval;
-}
-
+// Many hosts whose views are old at once must not burden the platform.
 duration fleet_view::readPause() const {
-  return PlatformAnswers || isReader() ? ReadInterval : OutagePause;
+  if (isReader() || Clock.now() < DeputyUntil)
+    return ReadInterval;
+  const duration Spread = ReadSelfSpread * Peers.members().size();
+  return std::max<duration>(PlatformAnswers ? ReadInterval : OutagePause,
+                            Spread);
 }
 
 asio::awaitable<void> fleet_view::readBackends() {
@@ -304,55 +303,11 @@
   }
 }
 
-// From the host that told of it; from the platform if that host fails.
-asio::awaitable<void> fleet_view::fetchConfigFrom(std::string Host) {
-  if (std::exchange(FetchingConfig, true))
-    co_return;
-  if (const link_pointer Link = Peers.linkTo(Host)) {
-    wire::messageUnion Body = makeBody(wire::config_fetch_value());
-    const result<envelope> Answer =
-        co_await Link->request(std::move(Body), FetchTimeout);
-    const wire::config_document_value *Value =
-        Answer ? Answer->body.Asconfig_document() : nullptr;
-    if (Value && Value->revision > SeenRevision)
-      takeConfig({Value->revision, Value->text}, Clock.now());
-  }
-  if (SeenRevision < AnnouncedRevision)
-    (void)co_await readConfig();
-  FetchingConfig = false;
-}
-
-void fleet_view::subscribe() {
-  SubscribedAt = Clock.now();
-  const std::string Reader = readerHost();
-  Peers.send(Reader, makeBody(makeSubscription()));
-  if (age() <= StaleAfter)
-    return;
-  // The reader may be cut off from the platform: ask the next one as well.
-  for (const std::string &Host : Peers.ranked(ReaderDuty)) {
-    if (Host == Reader || Host == Self.Host || !Peers.isUsable(Host))
-      continue;
-    Peers.send(Host, makeBody(makeSubscription()));
-    return;
-  }
-}
-
-wire::view_subscribe_value fleet_view::makeSubscription() const {
-  wire::view_subscribe_value Value;
-  Value.host = Self.Host;
-  Value.backends_version = newestVersion(BackendLists);
-  Value.members_version = MembersVersion;
-  return Value;
-}
-
 asio::awaitable<void> fleet_view::removeGone() {
   const time_point Now = Clock.now();
   std::vector<std::string> Gone;
   for (const fleet_member &Member : Peers.members()) {
-    const auto Known = Subscribers.find(Member.Host);
-    const bool Heard = Member.Host == Self.Host ||
-                       (Known != Subscribers.end() &&
-                        Now - Known->second.HeardAt < SubscriberMemory);
+    const bool Heard = Member.Host == Self.Host || heardLately(Member.Host);
     if (Heard)
       AbsentSince.erase(Member.Host);
     else if (Now - AbsentSince.emplace(Member.Host, Now).first->second >
@@ -403,126 +358,6 @@
     asio::co_spawn(Context, removeGone(), asio::detached);
 }
 
-void fleet_view::push(subscriber &To) {
-  const link_pointer Link = To.Link.lock();
-  if (!Link || !Link->isOpen())
-    return;
-  wire::view_push_value Push;
-  Push.age_ms = wireMs(directoryAge());
-  Push.members_age_ms = wireMs(membersAge());
-  Push.config_age_ms = wireMs(configAge());
-  Push.config_revision = SeenRevision;
-  Push.backends_version = newestVersion(BackendLists);
-  Push.has_backends = Push.backends_version != To.BackendsVersion;
-  if (Push.has_backends) {
-    const backend_list_change Change =
-        changeSince(BackendLists, To.BackendsVersion);
-    Push.backends_base = Change.Base;
-    Push.backends = toWire(Change.Changed);
-    Push.removed = Change.Removed;
-    To.BackendsVersion = Push.backends_version;
-  }
-  Push.members_version = MembersVersion;
-  Push.has_members = Push.members_version != To.MembersVersion;
-  if (Push.has_members) {
-    Push.members = toWire(Peers.members());
-    To.MembersVersion = Push.members_version;
-  }
-  envelope Message;
-  Message.body = makeBody(std::move(Push));
-  Link->send(Message);
-}
-
-void fleet_view::pushAll() {
-  const time_point Now = Clock.now();
-  std::erase_if(Subscribers, [Now](const auto &Entry) {
-    return Now - Entry.second.HeardAt > SubscriberMemory;
-  });
-  if (!Directory.SettledAt)
-    return;
-  for (auto &[Host, Subscriber] : Subscribers)
-    push(Subscriber);
-}
-
-void fleet_view::receivePush(const link_pointer &Link,
-                             const wire::view_push_value &Push) {
-  receiveBackends(Push);
-  receiveMembers(Push);
-  receiveConfigAge(Link, Push);
-}
-
-void fleet_view::receiveBackends(const wire::view_push_value &Push) {
-  const time_point ReadAt = Clock.now() - milliseconds(Push.age_ms);
-  if (Directory.SettledAt && ReadAt <= *Directory.SettledAt)
-    return;
-  if (Push.has_backends) {
-    std::optional<std::vector<backend_registration>> Next =
-        applyChange(BackendLists, {Push.backends_base, Push.backends_version,
-                                   fromWire(Push.backends), Push.removed});
-    if (!Next) {
-      // Based on another list than this host has: ask for the whole.
-      subscribe();
-      return;
-    }
-    if (takeSettledList(Directory, std::move(*Next), ReadAt))
-      publishBackends();
-  } else if (Push.backends_version == newestVersion(BackendLists)) {
-    Directory.SettledAt = ReadAt;
-  }
-}
-
-void fleet_view::receiveMembers(const wire::view_push_value &Push) {
-  const time_point ReadAt = Clock.now() - milliseconds(Push.members_age_ms);
-  if (!Push.has_members || ReadAt <= MembersReadAt.value_or(time_point()))
-    return;
-  MembersReadAt = ReadAt;
-  takeMembers(fromWire(Push.members));
-}
-
-void fleet_view::receiveConfigAge(const link_pointer &Link,
-                                  const wire::view_push_value &Push) {
-  if (Push.config_revision <= SeenRevision) {
-    if (Push.config_revision == SeenRevision)
-      confirmConfig(Clock.now() - milliseconds(Push.config_age_ms));
-    return;
-  }
-  AnnouncedRevision = Push.config_revision;
-  for (const std::string &Host : Peers.ranked(ReaderDuty))
-    if (Peers.linkTo(Host) == Link) {
-      asio::co_spawn(Context, fetchConfigFrom(Host), asio::detached);
-      return;
-    }
-}
-
-bool fleet_view::receive(const link_pointer &Link, const envelope &Message) {
-  if (const auto *Value = Message.body.Asview_subscribe()) {
-    subscriber &Known = Subscribers[Value->host];
-    Known.Link = Link;
-    Known.HeardAt = Clock.now();
-    Known.BackendsVersion = Value->backends_version;
-    Known.MembersVersion = Value->members_version;
-    if (Directory.SettledAt)
-      push(Known);
-    if (age() > StaleAfter)
-      DeputyUntil = Clock.now() + DeputyTime;
-    return true;
-  }
-  if (const auto *Value = Message.body.Asview_push()) {
-    receivePush(Link, *Value);
-    return true;
-  }
-  if (Message.body.Asconfig_fetch()) {
-    wire::config_document_value Answer;
-    if (Document) {
-      Answer.revision = Document->Revision;
-      Answer.text = Document->Text;
-    }
-    Link->answer(Message, makeBody(std::move(Answer)));
-    return true;
-  }
-  return false;
-}
-
 json::object fleet_view::dump() const {
   return {{"complete", isComplete()},
           {"age_ms", toMilliseconds(age())},
--- a/src/libs/entry_host/fleet_view.h
+++ b/src/libs/entry_host/fleet_view.h
@@ -77,7 +77,10 @@
   void subscribe();
   [[nodiscard]] wire::view_subscribe_value makeSubscription() const;
   [[nodiscard]] bool isReader() const;
+  [[nodiscard]] bool isStale() const;
+  [[nodiscard]] bool heardLately(const std::string &Host) const;
   [[nodiscard]] bool mayRead() const;
+  [[nodiscard]] duration readSelfAfter() const;
   [[nodiscard]] std::string readerHost() const;
   void push(subscriber &To);
   void pushAll();
@@ -124,6 +127,7 @@
   time_point SubscribedAt;
   /// Until when this host reads because others asked it to.
   time_point DeputyUntil;
+  std::size_t DeputiesAsked = 0;
   std::optional<time_point> MembersReadAt;
   bool PlatformAnswers = true;
   bool ReadingBackends = false;
--- /dev/null
+++ b/src/libs/entry_host/fleet_view_exchange.cpp
@@ -0,0 +1,207 @@
+#include "entry_host/fleet_view.h"
+
+#include "entry_host/slot_wire.h"
+#include "utils/log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+// What hosts tell each other of the platform.
+
+namespace coriandertray {
+
+namespace {
+
+constexpr duration SubscribeInterval = milliseconds(900);
+// The link to the reader may not be open yet, or the reader have no list.
+constexpr duration FirstSubscribeInterval = milliseconds(50);
+constexpr duration RetryPause = milliseconds(300);
+constexpr duration FetchTimeout = milliseconds(400);
+// A host that was asked for a newer view than it had reads for this long.
+constexpr duration DeputyTime = milliseconds(2000);
+constexpr duration SubscriberMemory = seconds(3);
+
+std::uint32_t wireMs(duration Age) {
+  return static_cast<std::uint32_t>(
+      std::chrono::duration_cast<milliseconds>(Age).count());
+}
+
+} // namespace
+
+void fleet_view::subscribe() {
+  SubscribedAt = Clock.now();
+  const std::string Reader = readerHost();
+  Peers.send(Reader, makeBody(makeSubscription()));
+  if (!isStale())
+    return;
+  // The reader may be cut off from the platform: ask the others in turn.
+  std::vector<std::string> Others;
+  for (const std::string &Host : Peers.ranked(ReaderDuty))
+    if (Host != Reader && Host != Self.Host && Peers.isUsable(Host))
+      Others.push_back(Host);
+  if (!Others.empty())
+    Peers.send(Others[DeputiesAsked++ % Others.size()],
+               makeBody(makeSubscription()));
+}
+
+wire::view_subscribe_value fleet_view::makeSubscription() const {
+  wire::view_subscribe_value Value;
+  Value.host = Self.Host;
+  Value.backends_version = newestVersion(BackendLists);
+  Value.members_version = MembersVersion;
+  return Value;
+}
+
+void fleet_view::push(subscriber &To) {
+  const link_pointer Link = To.Link.lock();
+  if (!Link || !Link->isOpen())
+    return;
+  wire::view_push_value Push;
+  Push.age_ms = wireMs(directoryAge());
+  Push.members_age_ms = wireMs(membersAge());
+  Push.config_age_ms = wireMs(configAge());
+  Push.config_revision = SeenRevision;
+  Push.backends_version = newestVersion(BackendLists);
+  Push.has_backends = Push.backends_version != To.BackendsVersion;
+  if (Push.has_backends) {
+    const backend_list_change Change =
+        changeSince(BackendLists, To.BackendsVersion);
+    Push.backends_base = Change.Base;
+    Push.backends = toWire(Change.Changed);
+    Push.removed = Change.Removed;
+    To.BackendsVersion = Push.backends_version;
+  }
+  Push.members_version = MembersVersion;
+  Push.has_members = Push.members_version != To.MembersVersion;
+  if (Push.has_members) {
+    Push.members = toWire(Peers.members());
+    To.MembersVersion = Push.members_version;
+  }
+  envelope Message;
+  Message.body = makeBody(std::move(Push));
+  Link->send(Message);
+}
+
+void fleet_view::pushAll() {
+  const time_point Now = Clock.now();
+  std::erase_if(Subscribers, [Now](const auto &Entry) {
+    return Now - Entry.second.HeardAt > SubscriberMemory;
+  });
+  if (!Directory.SettledAt)
+    return;
+  for (auto &[Host, Subscriber] : Subscribers)
+    push(Subscriber);
+}
+
+void fleet_view::receivePush(const link_pointer &Link,
+                             const wire::view_push_value &Push) {
+  receiveBackends(Push);
+  receiveMembers(Push);
+  receiveConfigAge(Link, Push);
+}
+
+void fleet_view::receiveBackends(const wire::view_push_value &Push) {
+  const time_point ReadAt = Clock.now() - milliseconds(Push.age_ms);
+  if (Directory.SettledAt && ReadAt <= *Directory.SettledAt)
+    return;
+  if (Push.has_backends) {
+    std::optional<std::vector<backend_registration>> Next =
+        applyChange(BackendLists, {Push.backends_base, Push.backends_version,
+                                   fromWire(Push.backends), Push.removed});
+    if (!Next) {
+      // Based on another list than this host has: ask for the whole.
+      subscribe();
+      return;
+    }
+    if (takeSettledList(Directory, std::move(*Next), ReadAt))
+      publishBackends();
+  } else if (Push.backends_version == newestVersion(BackendLists)) {
+    Directory.SettledAt = ReadAt;
+  }
+}
+
+void fleet_view::receiveMembers(const wire::view_push_value &Push) {
+  const time_point ReadAt = Clock.now() - milliseconds(Push.members_age_ms);
+  if (!Push.has_members || ReadAt <= MembersReadAt.value_or(time_point()))
+    return;
+  MembersReadAt = ReadAt;
+  takeMembers(fromWire(Push.members));
+}
+
+void fleet_view::receiveConfigAge(const link_pointer &Link,
+                                  const wire::view_push_value &Push) {
+  if (Push.config_revision <= SeenRevision) {
+    if (Push.config_revision == SeenRevision)
+      confirmConfig(Clock.now() - milliseconds(Push.config_age_ms));
+    return;
+  }
+  AnnouncedRevision = Push.config_revision;
+  for (const std::string &Host : Peers.ranked(ReaderDuty))
+    if (Peers.linkTo(Host) == Link) {
+      asio::co_spawn(Context, fetchConfigFrom(Host), asio::detached);
+      return;
+    }
+}
+
+bool fleet_view::receive(const link_pointer &Link, const envelope &Message) {
+  if (const auto *Value = Message.body.Asview_subscribe()) {
+    subscriber &Known = Subscribers[Value->host];
+    Known.Link = Link;
+    Known.HeardAt = Clock.now();
+    Known.BackendsVersion = Value->backends_version;
+    Known.MembersVersion = Value->members_version;
+    if (Directory.SettledAt)
+      push(Known);
+    if (isStale())
+      DeputyUntil = Clock.now() + DeputyTime;
+    return true;
+  }
+  if (const auto *Value = Message.body.Asview_push()) {
+    receivePush(Link, *Value);
+    return true;
+  }
+  if (Message.body.Asconfig_fetch()) {
+    wire::config_document_value Answer;
+    if (Document) {
+      Answer.revision = Document->Revision;
+      Answer.text = Document->Text;
+    }
+    Link->answer(Message, makeBody(std::move(Answer)));
+    return true;
+  }
+  return false;
+}
+
+// From the host that told of it; from the platform if that host fails.
+asio::awaitable<void> fleet_view::fetchConfigFrom(std::string Host) {
+  if (std::exchange(FetchingConfig, true))
+    co_return;
+  if (const link_pointer Link = Peers.linkTo(Host)) {
+    wire::messageUnion Body = makeBody(wire::config_fetch_value());
+    const result<envelope> Answer =
+        co_await Link->request(std::move(Body), FetchTimeout);
+    const wire::config_document_value *Value =
+        Answer ? Answer->body.Asconfig_document() : nullptr;
+    if (Value && Value->revision > SeenRevision)
+      takeConfig({Value->revision, Value->text}, Clock.now());
+  }
+  if (SeenRevision < AnnouncedRevision)
+    (void)co_await readConfig();
+  FetchingConfig = false;
+}
+
+duration fleet_view::subscribePause() const {
+  if (!Directory.ReadAt)
+    return FirstSubscribeInterval;
+  return isStale() ? RetryPause : SubscribeInterval;
+}
+
+bool fleet_view::heardLately(const std::string &Host) const {
+  const auto Known = Subscribers.find(Host);
+  return Known != Subscribers.end() &&
+         Clock.now() - Known->second.HeardAt < SubscriberMemory;
+}
+
+} // namespace coriandertray
--- a/src/libs/entry_host/host_settings.h
+++ b/src/libs/entry_host/host_settings.h
@@ -19,8 +19,10 @@
   socket_address Listen;
   /// Where the balancer asks whether this host is ready.
   socket_address Readiness;
-  /// Where other hosts connect.
+  /// Where this host accepts other hosts.
   socket_address Peers;
+  /// Where other hosts reach it, through what lies between them.
+  socket_address AdvertisedPeers;
   /// Where metrics and state are served.
   socket_address Metrics;
   /// Thousandths of a core that this process may use.
--- a/src/libs/entry_host/request_course.cpp
+++ b/src/libs/entry_host/request_course.cpp
@@ -1,5 +1,6 @@
 #include "entry_host/request_course.h"
 
+#include "entry_host/attempt_verdict.h"
 #include "utils/log.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -20,18 +21,6 @@
 
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 
-namespace status {
-constexpr unsigned FirstSuccess = 200;
-constexpr unsigned FirstRedirect = 300;
-constexpr unsigned RequestTimeout = 408;
-constexpr unsigned Misdirected = 421;
-constexpr unsigned TooManyRequests = 429;
-constexpr unsigned FirstServerError = 500;
-constexpr unsigned BadGateway = 502;
-constexpr unsigned Unavailable = 503;
-constexpr unsigned GatewayTimeout = 504;
-} // namespace status
-
 // A connection that was idle for longer may be dead without a sign; work that
 // can't be repeated is not put at risk on it.
 constexpr duration FreshIdleAge = milliseconds(700);
@@ -42,15 +31,6 @@
 // The answer of a request that runs out of time leaves this much earlier.
 constexpr duration AnswerMargin = milliseconds(15);
 
-enum class attempt_end : std::uint8_t {
-  Open,
-  Won,         ///< A whole success.
-  Answered,    ///< Another answer of the backend server, which is final.
-  Failed,      ///< No answer to pass on; it may have run.
-  NotRun,      ///< Provably not run.
-  SlotRefused, ///< No slot was to be had.
-};
-
 struct attempt {
   repeat_reason Repeat = repeat_reason::None;
   attempt_end End = attempt_end::Open;
@@ -70,15 +50,6 @@
 
 using attempt_pointer = std::shared_ptr<attempt>;
 
-bool isPromise(unsigned Status) {
-  return Status == status::RequestTimeout || Status == status::Misdirected ||
-         Status == status::TooManyRequests || Status == status::Unavailable;
-}
-
-bool isSuccess(unsigned Status) {
-  return Status >= status::FirstSuccess && Status < status::FirstRedirect;
-}
-
 class course : public std::enable_shared_from_this<course> {
 public:
   course(course_environment &Environment, course_request Request,
@@ -299,60 +270,17 @@
     call_result Result = co_await Environment.Client.call(
         Attempt->Slot.Address, std::move(Message), Options, Attempt->Canceller);
     Attempt->Elapsed = now() - Attempt->SentAt;
+    const attempt_verdict Verdict = judgeCall(Result, Environment.Names);
+    Attempt->End = Verdict.End;
+    Attempt->Outcome = Verdict.Outcome;
     Attempt->CallStatus = Result.Status;
     Attempt->Response = std::move(Result.Response);
-    classify(*Attempt);
     if (Attempt->Outcome == slot_outcome::Unreachable)
       Environment.PathDownUntil[Attempt->Slot.Backend] = now() + PathDownTime;
     Environment.Slots.release(Attempt->SlotId, Attempt->Outcome,
                               Attempt->Elapsed);
   }
 
-  void classify(attempt &Attempt) const {
-    if (provesNotRun(Attempt.CallStatus)) {
-      Attempt.End = attempt_end::NotRun;
-      Attempt.Outcome = slot_outcome::Unreachable;
-      return;
-    }
-    if (Attempt.CallStatus != call_status::Answered) {
-      const bool NoAnswer = Attempt.CallStatus == call_status::TimedOut ||
-                            Attempt.CallStatus == call_status::Cancelled;
-      Attempt.End = attempt_end::Failed;
-      Attempt.Outcome = NoAnswer ? slot_outcome::Silent : slot_outcome::Failed;
-      return;
-    }
-    const unsigned Status = Attempt.Response.Status;
-    const http_headers &Headers = Attempt.Response.Headers;
-    const bool SaysNotRun =
-        findHeader(Headers, Environment.Names.NotRun).has_value();
-    if (Status == status::Misdirected || (SaysNotRun && isPromise(Status))) {
-      Attempt.End = attempt_end::NotRun;
-      Attempt.Outcome = Status == status::Misdirected
-                            ? slot_outcome::Misdirected
-                            : slot_outcome::Full;
-      return;
-    }
-    const bool Signed =
-        findHeader(Headers, Environment.Names.Signature).has_value();
-    const bool Encoded = findHeader(Headers, "Content-Encoding").has_value();
-    if (isSuccess(Status)) {
-      Attempt.End = Signed && !Encoded ? attempt_end::Won : attempt_end::Failed;
-      Attempt.Outcome = Attempt.End == attempt_end::Won
-                            ? slot_outcome::Succeeded
-                            : slot_outcome::Failed;
-      return;
-    }
-    // What may have run must not be told with a status that denies it.
-    Attempt.End =
-        isPromise(Status) ? attempt_end::Failed : attempt_end::Answered;
-    const bool ServerError =
-        Status >= status::FirstServerError || isPromise(Status);
-    Attempt.Outcome =
-        ServerError ? slot_outcome::Failed : slot_outcome::Succeeded;
-    if (Attempt.End == attempt_end::Answered && !ServerError)
-      Attempt.End = attempt_end::Won;
-  }
-
   void abandonOpen() {
     for (const attempt_pointer &Each : Attempts) {
       if (Each->End != attempt_end::Open)
--- a/src/libs/entry_host/slot_broker.cpp
+++ b/src/libs/entry_host/slot_broker.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <random>
 #include <ranges>
 
 namespace coriandertray {
@@ -40,12 +41,11 @@
   return Answer;
 }
 
+// Another process of the same host must not use ids that are still held.
 std::uint64_t firstId() {
-  // Another process of the same host must not reuse ids that are still held.
-  const auto Now = std::chrono::system_clock::now().time_since_epoch();
-  const auto Us =
-      std::chrono::duration_cast<std::chrono::microseconds>(Now).count();
-  return static_cast<std::uint64_t>(Us);
+  std::random_device Random;
+  constexpr unsigned Half = 32;
+  return (std::uint64_t{Random()} << Half) + Random();
 }
 
 } // namespace
@@ -80,15 +80,14 @@
 // A host that allocates only for itself doesn't know what the others spend.
 retry_limits slot_broker::limitsOf(const std::string &Pool,
                                    bool ForOthers) const {
-  retry_limits Limits = Retries;
+  std::size_t Parts = 1;
   for (const auto &[Service, Split] : Services)
     if (std::ranges::find(Split.Pools, Pool, &server_pool::Name) !=
         Split.Pools.end())
-      Limits.Slack /= static_cast<double>(Split.Pools.size());
-  const std::size_t Hosts = std::max<std::size_t>(1, Peers.members().size());
+      Parts = Split.Pools.size();
   if (!ForOthers)
-    Limits.Slack /= static_cast<double>(Hosts);
-  return Limits;
+    Parts *= std::max<std::size_t>(1, Peers.members().size());
+  return partOf(Retries, Parts);
 }
 
 service_allocation &slot_broker::allocation(const std::string &Name) {
@@ -454,6 +453,8 @@
                                    {"backend_servers", std::move(Servers)}};
   }
   return {{"slots_held", Held.size()},
+          {"retry_ratio", Retries.Ratio},
+          {"retry_slack", Retries.Slack},
           {"pools", std::move(Pools)},
           {"allocated_here", std::move(Allocated)}};
 }
--- a/src/libs/entry_host/slot_broker.h
+++ b/src/libs/entry_host/slot_broker.h
@@ -61,6 +61,9 @@
   /// Gives the slot named \p Id back. Unknown ones are ignored.
   void release(std::uint64_t Id, slot_outcome Outcome, duration Elapsed);
 
+  /// Puts other limits on repeats in force.
+  void setRetries(const retry_limits &Limits) { Retries = Limits; }
+
   /// Replaces the backend servers of all services.
   void setBackends(const std::vector<backend_registration> &Backends);
 
--- a/src/libs/utils/settings.cpp
+++ b/src/libs/utils/settings.cpp
@@ -97,6 +97,19 @@
   return {};
 }
 
+std::optional<socket_address>
+settings_reader::optionalAddress(std::string_view Key) {
+  const std::string Text = optionalText(Key, "");
+  if (Text.empty())
+    return std::nullopt;
+  const result<socket_address> Address = parseAddress(Text);
+  if (!Address) {
+    addFault(error_code::AddressMalformed, Key, Text);
+    return std::nullopt;
+  }
+  return *Address;
+}
+
 std::vector<socket_address>
 settings_reader::optionalAddresses(std::string_view Key) {
   const json::value *Value = take(Key);
--- a/src/libs/utils/settings.h
+++ b/src/libs/utils/settings.h
@@ -7,6 +7,7 @@
 #include "utils/json.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,9 @@
                                     double Least, double Most);
   /// Takes the address under \p Key; a missing one is a fault.
   [[nodiscard]] socket_address requiredAddress(std::string_view Key);
+  /// Takes the address under \p Key; absent means nothing.
+  [[nodiscard]] std::optional<socket_address>
+  optionalAddress(std::string_view Key);
   /// Takes the addresses in the array under \p Key; absent means none.
   [[nodiscard]] std::vector<socket_address>
   optionalAddresses(std::string_view Key);
--- a/tests/auto/allocation/tst_service_allocation.cpp
+++ b/tests/auto/allocation/tst_service_allocation.cpp
@@ -292,6 +292,27 @@
   });
 }
 
+TEST_CASE("hosts that each allocate for themselves keep the budget together") {
+  // The load: no allocator is to be reached, and most requests fail.
+  constexpr std::size_t Hosts = 134;
+  const retry_limits Limits = {0.2, seconds(10), 218};
+  const time_point Now{std::chrono::hours(1)};
+  int Repeats = 0;
+  int Requests = 0;
+  for (std::size_t Host = 0; Host < Hosts; ++Host) {
+    const retry_limits Part = partOf(Limits, Hosts);
+    retry_window Window;
+    for (int Count = 0; Count < 8; ++Count) {
+      noteRequest(Window, Part, Now);
+      ++Requests;
+    }
+    while (takeRepeat(Window, Part, 0, Now))
+      ++Repeats;
+  }
+  CHECK(Repeats > 0);
+  CHECK(Repeats <= Limits.Ratio * Requests + Limits.Slack);
+}
+
 TEST_CASE("no sequence of events gives a server more than its slots") {
   rc::check("nor a request two grants or an answer twice", [] {
     service_allocation State;
--- a/tests/auto/entry_host/fleet_fixture.h
+++ b/tests/auto/entry_host/fleet_fixture.h
@@ -90,6 +90,61 @@
   std::vector<fleet_member> Members;
 };
 
+/// The platform as one host reaches it, or not.
+class platform_path final : public platform_port {
+public:
+  explicit platform_path(platform_stand_in &Platform) : Platform(Platform) {}
+
+  asio::awaitable<result<config_document>> readConfig() override {
+    if (Cut)
+      co_return fail(error_code::PlatformUnreachable, "cut");
+    co_return co_await Platform.readConfig();
+  }
+
+  asio::awaitable<result<std::optional<config_document>>>
+  awaitConfig(std::uint64_t Revision, duration Wait) override {
+    if (Cut)
+      co_return fail(error_code::PlatformUnreachable, "cut");
+    co_return co_await Platform.awaitConfig(Revision, Wait);
+  }
+
+  [[nodiscard]] result<routing_config>
+  decodeConfig(const config_document &Document) const override {
+    return Platform.decodeConfig(Document);
+  }
+
+  asio::awaitable<result<std::vector<backend_registration>>>
+  readBackends() override {
+    ++BackendReads;
+    if (Cut)
+      co_return fail(error_code::PlatformUnreachable, "cut");
+    co_return co_await Platform.readBackends();
+  }
+
+  asio::awaitable<result<std::vector<fleet_member>>>
+  readMembers(bool MayBeOld) override {
+    if (Cut)
+      co_return fail(error_code::PlatformUnreachable, "cut");
+    co_return co_await Platform.readMembers(MayBeOld);
+  }
+
+  asio::awaitable<result<void>> addMember(fleet_member Member) override {
+    if (Cut)
+      co_return fail(error_code::PlatformUnreachable, "cut");
+    co_return co_await Platform.addMember(Member);
+  }
+
+  asio::awaitable<result<void>> removeMember(std::string Host) override {
+    co_return co_await Platform.removeMember(Host);
+  }
+
+  bool Cut = false;
+  int BackendReads = 0;
+
+private:
+  platform_stand_in &Platform;
+};
+
 using backend_script =
     std::function<asio::awaitable<http_response>(http_request)>;
 
@@ -265,6 +320,8 @@
   asio::io_context Context;
   steady_clock_source Clock;
   platform_stand_in Platform;
+  /// Of each host.
+  std::vector<std::unique_ptr<platform_path>> Paths;
   std::vector<std::unique_ptr<scripted_backend>> Backends;
   std::vector<std::unique_ptr<entry_host>> Hosts;
 
@@ -277,11 +334,13 @@
     Settings.Listen = listenAddress(Number);
     Settings.Readiness = {Ip, 18'201};
     Settings.Peers = {Ip, 18'202};
+    Settings.AdvertisedPeers = Settings.Peers;
     Settings.Metrics = {Ip, 18'203};
     Settings.Retries = {0.2, seconds(10), 60};
     Settings.GracePeriod = seconds(1);
+    Paths.push_back(std::make_unique<platform_path>(Platform));
     Hosts.push_back(std::make_unique<entry_host>(Context, Clock, Settings,
-                                                 TestNames, Platform));
+                                                 TestNames, *Paths.back()));
   }
 };
 
--- a/tests/auto/entry_host/tst_fleet.cpp
+++ b/tests/auto/entry_host/tst_fleet.cpp
@@ -15,6 +15,13 @@
   return Dump.at(Part).as_object().at(Key).to_number<std::int64_t>();
 }
 
+std::size_t readerOf(const entry_host &Host) {
+  const json::object Dump = Host.dump();
+  const json::string &Name =
+      Dump.at("view").as_object().at("reader").as_string();
+  return static_cast<std::size_t>(Name.back() - '0');
+}
+
 std::string allocatorOf(const entry_host &Host) {
   const json::object Dump = Host.dump();
   const json::object &Pools =
@@ -120,3 +127,55 @@
     CHECK(Fleet.Backends[1]->Requests.size() >= 10);
   });
 }
+
+TEST_CASE("one host reads the platform for all") {
+  constexpr int HostCount = 4;
+  fleet_fixture Fleet(HostCount);
+  Fleet.addBackend(answerWhole);
+  Fleet.run([&]() -> asio::awaitable<void> {
+    co_await pauseFor(seconds(1));
+    const std::size_t Reader = readerOf(*Fleet.Hosts[0]);
+    for (const auto &Path : Fleet.Paths)
+      Path->BackendReads = 0;
+    co_await pauseFor(seconds(2));
+    for (std::size_t Number = 0; Number < HostCount; ++Number) {
+      CHECK(readerOf(*Fleet.Hosts[Number]) == Reader);
+      const int Reads = Fleet.Paths[Number]->BackendReads;
+      CHECK((Number == Reader ? Reads > 2 : Reads == 0));
+    }
+  });
+}
+
+TEST_CASE("a leaving server is known in time though the reader is cut off") {
+  // The load: the platform refuses the host that reads for all, at the moment
+  // at which a server begins to leave.
+  constexpr int HostCount = 4;
+  fleet_fixture Fleet(HostCount);
+  Fleet.addBackend(answerWhole);
+  Fleet.addBackend(answerWhole);
+  Fleet.run([&]() -> asio::awaitable<void> {
+    co_await pauseFor(seconds(1));
+    Fleet.Paths[readerOf(*Fleet.Hosts[0])]->Cut = true;
+    Fleet.Platform.Backends[0].Draining = true;
+    // Requests may reach it for two seconds.
+    co_await pauseFor(seconds(2));
+    Fleet.Backends[0]->Requests.clear();
+    for (int Count = 0; Count < 3 * HostCount; ++Count)
+      co_await Fleet.talk(Fleet.requestText("GET", "/read/", "r"), 1,
+                          Count % HostCount);
+    CHECK(Fleet.Backends[0]->Requests.empty());
+    CHECK(Fleet.Backends[1]->Requests.size() >= 3 * HostCount);
+  });
+}
+
+TEST_CASE("changed settings are in force without a new start") {
+  fleet_fixture Fleet(1);
+  Fleet.addBackend(answerWhole);
+  Fleet.run([&]() -> asio::awaitable<void> {
+    host_settings Changed;
+    Changed.Retries = {0.5, seconds(10), 7};
+    Fleet.Hosts[0]->reload(Changed);
+    CHECK(numberAt(Fleet.Hosts[0]->dump(), "slots", "retry_slack") == 7);
+    co_return;
+  });
+}
--- a/tests/auto/http/tst_http.cpp
+++ b/tests/auto/http/tst_http.cpp
@@ -215,3 +215,58 @@
   removeHopByHopHeaders(Headers);
   CHECK(Headers == http_headers{{"Accept", "*"}});
 }
+
+TEST_CASE("an answer given before a long body is read ends the connection") {
+  // The server reads on where the rest of that body is due: another request on
+  // the same connection would be taken for it.
+  asio::io_context Context;
+  asio::ip::tcp::acceptor Acceptor(
+      Context, {asio::ip::make_address(ServerAddress.Ip), ServerAddress.Port});
+  http_client Client(Context, {});
+  std::vector<std::string> Received;
+  const auto AnswerEarly = [&]() -> asio::awaitable<void> {
+    for (;;) {
+      asio::ip::tcp::socket Socket =
+          co_await Acceptor.async_accept(asio::use_awaitable);
+      std::string &Text = Received.emplace_back();
+      std::array<char, 1024> Chunk{};
+      while (Text.find("\r\n\r\n") == std::string::npos) {
+        const std::size_t Count = co_await Socket.async_read_some(
+            asio::buffer(Chunk), asio::use_awaitable);
+        Text.append(Chunk.data(), Count);
+      }
+      const std::string Answer =
+          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+      co_await asio::async_write(Socket, asio::buffer(Answer),
+                                 asio::use_awaitable);
+      // The rest is read until the connection ends.
+      for (;;) {
+        auto [Failure, Count] = co_await Socket.async_read_some(
+            asio::buffer(Chunk), asio::as_tuple(asio::use_awaitable));
+        if (Failure)
+          break;
+        Text.append(Chunk.data(), Count);
+      }
+    }
+  };
+  const auto Steps = [&]() -> asio::awaitable<void> {
+    for (int Number = 0; Number < 2; ++Number) {
+      http_request Request;
+      Request.Method = "POST";
+      Request.Target = "/" + std::to_string(Number);
+      Request.Body.assign(16U << 20U, 'x');
+      const call_result Result =
+          co_await Client.call(ServerAddress, std::move(Request), {});
+      CHECK(Result.Status == call_status::Answered);
+      CHECK(Result.Response.Body == "ok");
+      CHECK(Client.idleConnectionCount() == 0);
+    }
+    Context.stop();
+  };
+  asio::co_spawn(Context, AnswerEarly(), asio::detached);
+  asio::co_spawn(Context, Steps(), asio::detached);
+  Context.run();
+  REQUIRE(Received.size() == 2);
+  for (const std::string &Text : Received)
+    CHECK(Text.find("POST", 1) == std::string::npos);
+}
--- /dev/null
+++ b/tests/soak/messages.py
@@ -0,0 +1,106 @@
+"""HTTP/1.1 messages over asyncio streams, as plain values."""
+import asyncio
+import dataclasses
+import socket
+import struct
+
+
+class Broken(Exception):
+    """The other side ended the connection or sent what is no message."""
+
+
+@dataclasses.dataclass
+class Message:
+    """A request or an answer; `start` holds the three words of its first line."""
+    start: list
+    headers: dict
+    body: bytes
+
+    @property
+    def status(self):
+        return int(self.start[1])
+
+    def header(self, name, default=""):
+        return self.headers.get(name.lower(), default)
+
+
+async def read_message(reader, is_answer=False):
+    """Reads one message; None if the connection ends before one begins."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except asyncio.IncompleteReadError as failure:
+        if not failure.partial:
+            return None
+        raise Broken("cut in the headers") from failure
+    except (ConnectionError, asyncio.LimitOverrunError) as failure:
+        raise Broken(str(failure)) from failure
+    lines = head.decode("latin-1").split("\r\n")
+    start = lines[0].split(" ", 2)
+    if len(start) < 2 or (is_answer and not start[1].isdigit()):
+        raise Broken("no first line")
+    headers = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(":")
+        if name:
+            headers[name.strip().lower()] = value.strip()
+    try:
+        body = await read_body(reader, headers, is_answer)
+    except (asyncio.IncompleteReadError, ConnectionError, ValueError) as failure:
+        raise Broken("cut in the body") from failure
+    return Message(start, headers, body)
+
+
+async def read_body(reader, headers, is_answer):
+    if headers.get("transfer-encoding", "").lower() == "chunked":
+        body = b""
+        while True:
+            size = int((await reader.readuntil(b"\r\n")).strip(), 16)
+            body += (await reader.readexactly(size + 2))[:size]
+            if size == 0:
+                return body
+    if "content-length" in headers:
+        return await reader.readexactly(int(headers["content-length"]))
+    if is_answer and headers.get("connection", "").lower() == "close":
+        return await reader.read()
+    return b""
+
+
+def make_answer(status, body=b"", headers=None, framing="length"):
+    """The bytes of an answer; `framing` is length, chunked or close."""
+    lines = [f"HTTP/1.1 {status} -"]
+    lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+    if framing == "chunked":
+        lines.append("Transfer-Encoding: chunked")
+        half = len(body) // 2
+        parts = [part for part in (body[:half], body[half:]) if part]
+        body = b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in parts)
+        body += b"0\r\n\r\n"
+    elif framing == "close":
+        lines.append("Connection: close")
+    else:
+        lines.append(f"Content-Length: {len(body)}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+def make_request(method, path, headers, body=b"", chunked=False):
+    """The bytes of a request."""
+    lines = [f"{method} {path} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    if chunked and body:
+        lines.append("Transfer-Encoding: chunked")
+        body = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+    else:
+        lines.append(f"Content-Length: {len(body)}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+def reset(writer):
+    """Resets the connection, so that its end can't pass for an ordinary one."""
+    connection = writer.get_extra_info("socket")
+    if connection is not None:
+        try:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                  struct.pack("ii", 1, 0))
+        except OSError:
+            pass
+    writer.transport.abort()
