--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -32,6 +32,7 @@
         self.store_address = f"{world.ip(1, index)}:8400"
         self.store_link = Link(f"{world.ip(1, index)}:8401", self.store_address)
         self.peer_link = Link(f"{world.ip(3, index)}:7600", f"{self.ip}:7540")
+        self.store_server = None
         self.process = None
         self.incarnation = 0
         self.ready = False
@@ -49,7 +50,8 @@
                    for begin, until, kind in self.disturbances)
 
     async def prepare(self):
-        await self.world.store.start(self.store_address, self.name)
+        self.store_server = await self.world.store.start(self.store_address,
+                                                         self.name)
         await self.store_link.start()
         await self.peer_link.start()
         settings = {
@@ -62,6 +64,12 @@
             "platform": self.store_link.listen}
         (self.folder / "settings.json").write_text(json.dumps(settings))
 
+    def stop_listening(self):
+        self.store_link.stop()
+        self.peer_link.stop()
+        if self.store_server:
+            self.store_server.close()
+
     def start(self):
         self.incarnation += 1
         self.expected_end = False
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -171,6 +171,10 @@
                     host.expected_end = True
                     host.process.kill()
                     host.process.wait()
+                host.stop_listening()
+            for backend in self.backends:
+                if backend.alive:
+                    backend.crash()
             for task in self.tasks:
                 task.cancel()
             await asyncio.gather(*self.tasks, return_exceptions=True)
