Allocation: Report rate limits of backend servers to the allocator and log them

Change: the header is decoded into a typed rate_limit, travels with the release of the slot to the allocator of the pool, and is logged there when it changes (rate-limit-changed) and for each attempt (server_requests_per_s). A malformed limit is logged and leaves the known one. No decision depends on it yet.

--- a/src/libs/allocation/backend_record.h
+++ b/src/libs/allocation/backend_record.h
@@ -5,6 +5,7 @@
 
 #include "allocation/failure_estimate.h"
 #include "allocation/latency_profile.h"
+#include "allocation/rate_limit.h"
 #include "allocation/slot_messages.h"
 #include "discovery/backend_registration.h"
 #include "utils/clock.h"
@@ -48,6 +49,10 @@
   bool Misdirected = false;
   /// Whether the server was last reported as suspected of failing.
   bool Suspected = false;
+  /// The rate limit that the server reported last.
+  rate_limit RateLimit;
+  /// The limit as of the last call of takeRateLimitChanges().
+  rate_limit PublishedRateLimit;
 };
 
 /// \returns whether \p Backend may receive requests at all: it is neither
--- a/src/libs/allocation/slot_allocator.cpp
+++ b/src/libs/allocation/slot_allocator.cpp
@@ -267,6 +267,8 @@
     Backend.Leases.erase(Found);
     latency_profile &Profile = State.Profiles[Lease.Profile];
     recordOutcome(Backend, Lease, Release, Profile, State.PriorLogOdds, Now);
+    if (Release.ReportedLimit)
+      Backend.RateLimit = *Release.ReportedLimit;
     if (Release.Outcome == slot_outcome::Succeeded)
       recordDuration(Profile, Release.Elapsed, Now);
     refreshFailureProbability(State, Backend, Now);
@@ -327,4 +329,15 @@
   return Changes;
 }
 
+std::vector<rate_limit_change> takeRateLimitChanges(slot_allocator &State) {
+  std::vector<rate_limit_change> Changes;
+  for (auto &[Name, Backend] : State.Backends) {
+    if (Backend.RateLimit == Backend.PublishedRateLimit)
+      continue;
+    Changes.push_back({Name, Backend.PublishedRateLimit, Backend.RateLimit});
+    Backend.PublishedRateLimit = Backend.RateLimit;
+  }
+  return Changes;
+}
+
 } // namespace coriandertray
--- a/src/libs/allocation/slot_allocator.h
+++ b/src/libs/allocation/slot_allocator.h
@@ -32,6 +32,15 @@
   bool operator==(const suspicion_change &) const = default;
 };
 
+/// A backend server has reported another rate limit than before. The owner of
+/// the allocator logs these changes.
+struct rate_limit_change {
+  std::string Backend;
+  rate_limit Previous;
+  rate_limit Limit;
+  bool operator==(const rate_limit_change &) const = default;
+};
+
 /// The allocator of one pool. Plain state; not thread-safe.
 struct slot_allocator {
   placement_policy Policy;
@@ -80,4 +89,8 @@
 [[nodiscard]] std::vector<suspicion_change>
 takeSuspicionChanges(slot_allocator &State, time_point Now);
 
+/// \returns the servers whose rate limit has changed since the last call.
+[[nodiscard]] std::vector<rate_limit_change>
+takeRateLimitChanges(slot_allocator &State);
+
 } // namespace coriandertray
--- a/src/libs/allocation/slot_messages.h
+++ b/src/libs/allocation/slot_messages.h
@@ -3,11 +3,13 @@
 /// their encoding.
 #pragma once
 
+#include "allocation/rate_limit.h"
 #include "utils/address.h"
 #include "utils/clock.h"
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -88,6 +90,9 @@
   slot_key Key;
   slot_outcome Outcome = slot_outcome::NotUsed;
   duration Elapsed{0};
+  /// The limit according to the backend server's response; nothing if there was
+  /// no response.
+  std::optional<rate_limit> ReportedLimit;
   bool operator==(const slot_release &) const = default;
 };
 
--- a/src/libs/entry_host/attempt_classification.cpp
+++ b/src/libs/entry_host/attempt_classification.cpp
@@ -68,4 +68,22 @@
           NoResponse ? slot_outcome::Silent : slot_outcome::Failed};
 }
 
+result<std::optional<rate_limit>> reportedRateLimit(const call_result &Result,
+                                                    const header_names &Names) {
+  if (Result.Status != call_status::Answered)
+    return std::nullopt;
+  const http_headers &Headers = Result.Response.Headers;
+  const bool FromBackend = findHeader(Headers, Names.Signature).has_value() ||
+                           findHeader(Headers, Names.NotRun).has_value();
+  if (!FromBackend || Result.Response.Status == Misdirected)
+    return std::nullopt;
+  const std::optional<std::string> Text = findHeader(Headers, Names.RateLimit);
+  if (!Text)
+    return rate_limit{};
+  const result<rate_limit> Limit = parseRateLimit(*Text);
+  if (!Limit)
+    return tl::unexpected(Limit.error());
+  return *Limit;
+}
+
 } // namespace coriandertray
--- a/src/libs/entry_host/attempt_classification.h
+++ b/src/libs/entry_host/attempt_classification.h
@@ -3,12 +3,14 @@
 /// for the allocator. Performs no I/O.
 #pragma once
 
+#include "allocation/rate_limit.h"
 #include "allocation/slot_messages.h"
 #include "entry_host/header_names.h"
 #include "http/http_client.h"
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 
 namespace coriandertray {
 
@@ -44,4 +46,10 @@
 [[nodiscard]] attempt_classification
 classifyCallResult(const call_result &Result, const header_names &Names);
 
+/// \returns the rate limit according to the response in \p Result, or nothing
+/// if it holds no response of the backend server that the attempt was meant
+/// for. Fails with ValueOutOfRange if the limit is malformed.
+[[nodiscard]] result<std::optional<rate_limit>>
+reportedRateLimit(const call_result &Result, const header_names &Names);
+
 } // namespace coriandertray
--- a/src/libs/entry_host/header_names.h
+++ b/src/libs/entry_host/header_names.h
@@ -19,6 +19,9 @@
   std::string Load;
   /// Present on the response to a request that was not run.
   std::string NotRun;
+  /// Requests per second that the responding server accepts from all hosts
+  /// together; absent if it has no limit.
+  std::string RateLimit;
   bool operator==(const header_names &) const = default;
 };
 
--- a/src/libs/entry_host/request_proxy.cpp
+++ b/src/libs/entry_host/request_proxy.cpp
@@ -43,6 +43,7 @@
   time_point CallStartedAt;
   duration Elapsed{0};
   call_status CallStatus = call_status::Cancelled;
+  std::optional<rate_limit> ReportedLimit;
   http_response Response;
   std::shared_ptr<slot_wait> Wait = std::make_shared<slot_wait>();
   std::shared_ptr<call_canceller> Canceller =
@@ -281,12 +282,24 @@
     Attempt->State = Classification.State;
     Attempt->Outcome = Classification.Outcome;
     Attempt->CallStatus = Result.Status;
+    Attempt->ReportedLimit = readRateLimit(Result, Attempt->Slot.Backend);
     Attempt->Response = std::move(Result.Response);
     if (Attempt->Outcome == slot_outcome::Unreachable)
       Environment.UnreachableUntil[Attempt->Slot.Backend] =
           now() + UnreachableHoldTime;
     Environment.Slots.release(Attempt->SlotId, Attempt->Outcome,
-                              Attempt->Elapsed);
+                              Attempt->Elapsed, Attempt->ReportedLimit);
+  }
+
+  [[nodiscard]] std::optional<rate_limit>
+  readRateLimit(const call_result &Result, const std::string &Backend) const {
+    const result<std::optional<rate_limit>> Limit =
+        reportedRateLimit(Result, Environment.Names);
+    if (Limit)
+      return *Limit;
+    logEvent(log_level::Warning, "rate-limit-malformed",
+             {{"backend_server", Backend}, {"detail", Limit.error().Detail}});
+    return std::nullopt;
   }
 
   void abandonInProgress() {
@@ -368,7 +381,9 @@
             Each->CallStarted
                 ? toMilliseconds(Each->CallStartedAt - Request.Start)
                 : 0.0},
-           {"ran_ms", toMilliseconds(Each->Elapsed)}});
+           {"ran_ms", toMilliseconds(Each->Elapsed)},
+           {"server_requests_per_s",
+            toJson(Each->ReportedLimit.value_or(rate_limit{}))}});
     const double Total = toMilliseconds(now() - Request.Start);
     logEvent(log_level::Info, "request-ended",
              {{"request_id", RequestId},
--- a/src/libs/entry_host/slot_broker.cpp
+++ b/src/libs/entry_host/slot_broker.cpp
@@ -169,7 +169,7 @@
       std::ranges::find(Candidates, Self) + 1 != Candidates.end();
   State.RetryLimits = retryLimitsFor(Pool, IsAssignedAllocator);
   const slot_answer Answer = requestSlot(State, Request, Clock.now());
-  logSuspicionChanges(Pool, State);
+  logAllocatorChanges(Pool, State);
   if (Answer.Verdict == slot_verdict::Queued)
     startAdvanceLoop();
   else
@@ -287,18 +287,19 @@
   }
   slot_allocator &State = allocationFor(Pool);
   releaseSlot(State, End, Clock.now());
-  logSuspicionChanges(Pool, State);
+  logAllocatorChanges(Pool, State);
   advanceQueue(Pool);
 }
 
 void slot_broker::release(std::uint64_t Id, slot_outcome Outcome,
-                          duration Elapsed) {
+                          duration Elapsed,
+                          std::optional<rate_limit> ReportedLimit) {
   const auto Found = HeldSlots.find(Id);
   if (Found == HeldSlots.end())
     return;
   const held_slot Slot = Found->second;
   HeldSlots.erase(Found);
-  const slot_release End = {{Self, Id}, Outcome, Elapsed};
+  const slot_release End = {{Self, Id}, Outcome, Elapsed, ReportedLimit};
   sendSlotEnd(Slot.Allocator, Slot.Pool, End);
   const std::string &Current = CurrentAllocators[Slot.Pool];
   if (Current != Slot.Allocator && !Current.empty())
@@ -336,7 +337,7 @@
     deliverAnswer(Pool, Answer);
 }
 
-void slot_broker::logSuspicionChanges(const std::string &Pool,
+void slot_broker::logAllocatorChanges(const std::string &Pool,
                                       slot_allocator &State) {
   for (const suspicion_change &Change :
        takeSuspicionChanges(State, Clock.now()))
@@ -346,6 +347,12 @@
               {"backend_server", Change.Backend},
               {"sick_probability", Change.FailureProbability},
               {"in_flight", Change.InFlight}});
+  for (const rate_limit_change &Change : takeRateLimitChanges(State))
+    logEvent(log_level::Info, "rate-limit-changed",
+             {{"pool", Pool},
+              {"backend_server", Change.Backend},
+              {"requests_per_s", toJson(Change.Limit)},
+              {"previous_requests_per_s", toJson(Change.Previous)}});
 }
 
 void slot_broker::receiveAnswer(const link_pointer &Link,
@@ -391,7 +398,7 @@
   State.RetryLimits = retryLimitsFor(Value.pool, true);
   const slot_answer Answer = requestSlot(State, Request, Now);
   deliverAnswer(Value.pool, Answer);
-  logSuspicionChanges(Value.pool, State);
+  logAllocatorChanges(Value.pool, State);
   if (Answer.Verdict == slot_verdict::Queued)
     startAdvanceLoop();
 }
@@ -404,7 +411,7 @@
     if (!Value.pool.empty() && Value.pool != Pool)
       continue;
     releaseSlot(State, End, Clock.now());
-    logSuspicionChanges(Pool, State);
+    logAllocatorChanges(Pool, State);
     advanceQueue(Pool);
   }
 }
@@ -466,6 +473,7 @@
                          {"draining", Backend.Registration.Draining},
                          {"in_use", Backend.Leases.size()},
                          {"slots", Backend.Registration.Slots},
+                         {"requests_per_s", toJson(Backend.RateLimit)},
                          {"sick_probability", Backend.FailureProbability}});
     Allocated[Pool] = json::object{{"waiting", State.Queue.size()},
                                    {"backend_servers", std::move(Servers)}};
--- a/src/libs/entry_host/slot_broker.h
+++ b/src/libs/entry_host/slot_broker.h
@@ -58,8 +58,10 @@
                                          slot_request Request,
                                          std::shared_ptr<slot_wait> Wait);
 
-  /// Returns the slot \p Id to its allocator. Unknown ids are ignored.
-  void release(std::uint64_t Id, slot_outcome Outcome, duration Elapsed);
+  /// Returns the slot \p Id to its allocator, with the rate limit that the
+  /// backend server reported, if it responded. Unknown ids are ignored.
+  void release(std::uint64_t Id, slot_outcome Outcome, duration Elapsed,
+               std::optional<rate_limit> ReportedLimit = {});
 
   /// Replaces the limits of the retry budget.
   void setRetryLimits(const retry_limits &Limits) { Retries = Limits; }
@@ -112,7 +114,7 @@
                    const slot_release &End);
   void deliverAnswer(const std::string &Pool, const slot_answer &Answer);
   void advanceQueue(const std::string &Pool);
-  void logSuspicionChanges(const std::string &Pool, slot_allocator &State);
+  void logAllocatorChanges(const std::string &Pool, slot_allocator &State);
   void receiveRequest(const link_pointer &Link,
                       const wire::slot_request_value &Value);
   void receiveEnd(const wire::slot_end_value &Value);
--- a/src/libs/entry_host/slot_wire.cpp
+++ b/src/libs/entry_host/slot_wire.cpp
@@ -1,6 +1,7 @@
 #include "entry_host/slot_wire.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace coriandertray {
 
@@ -11,6 +12,21 @@
   return static_cast<std::uint32_t>(std::clamp<std::int64_t>(Ms, 0, 3'600'000));
 }
 
+std::unique_ptr<wire::rate_limit_report_value> toWire(const rate_limit &Limit) {
+  auto Value = std::make_unique<wire::rate_limit_report_value>();
+  Value->limited = Limit.RequestsPerSecond.has_value();
+  Value->requests_per_s = Limit.RequestsPerSecond.value_or(0);
+  return Value;
+}
+
+// Other hosts send limits that passed parseRateLimit(); a value out of its
+// range counts as no limit.
+rate_limit fromWire(const wire::rate_limit_report_value &Value) {
+  const bool IsValid = Value.limited && std::isfinite(Value.requests_per_s) &&
+                       Value.requests_per_s >= 0;
+  return IsValid ? rate_limit{Value.requests_per_s} : rate_limit{};
+}
+
 } // namespace
 
 wire::slot_request_value toWire(const slot_request &Request,
@@ -86,6 +102,8 @@
   Value.pool = Pool;
   Value.outcome = static_cast<std::uint8_t>(End.Outcome);
   Value.elapsed_ms = toWireMs(End.Elapsed);
+  if (End.ReportedLimit)
+    Value.rate_limit = toWire(*End.ReportedLimit);
   return Value;
 }
 
@@ -95,6 +113,8 @@
   End.Outcome = static_cast<slot_outcome>(std::min<std::uint8_t>(
       Value.outcome, static_cast<std::uint8_t>(slot_outcome::NotUsed)));
   End.Elapsed = milliseconds(Value.elapsed_ms);
+  if (Value.rate_limit)
+    End.ReportedLimit = fromWire(*Value.rate_limit);
   return End;
 }
 
--- a/tests/auto/entry_host/fleet_fixture.h
+++ b/tests/auto/entry_host/fleet_fixture.h
@@ -24,9 +24,9 @@
 
 namespace coriandertray::testing {
 
-const header_names TestNames = {"Test-Request-Id", "Test-Deadline-Ms",
-                                "Test-Signature",  "Test-Target",
-                                "Test-Load",       "Test-Not-Run"};
+const header_names TestNames = {
+    "Test-Request-Id", "Test-Deadline-Ms", "Test-Signature", "Test-Target",
+    "Test-Load",       "Test-Not-Run",     "Test-Rate-Limit"};
 
 /// A platform that keeps its objects in memory.
 class in_memory_platform final : public platform_port {
--- a/tests/auto/entry_host/tst_attempt_classification.cpp
+++ b/tests/auto/entry_host/tst_attempt_classification.cpp
@@ -71,3 +71,28 @@
       classifyStatus(404, true, false) ==
       attempt_classification{attempt_state::Accepted, slot_outcome::Succeeded});
 }
+
+TEST_CASE("a rate limit is read from responses of the backend server only") {
+  call_result Result;
+  Result.Status = call_status::Answered;
+  Result.Response.Status = 200;
+  setHeader(Result.Response.Headers, TestNames.RateLimit, "2.5");
+  CHECK(reportedRateLimit(Result, TestNames).value() ==
+        std::optional<rate_limit>());
+  setHeader(Result.Response.Headers, TestNames.Signature, "signed");
+  CHECK(reportedRateLimit(Result, TestNames).value() == rate_limit{2.5});
+  for (const char *Malformed : {"", "fast", "-1", "2.5/s", "nan", "inf"}) {
+    setHeader(Result.Response.Headers, TestNames.RateLimit, Malformed);
+    const auto Limit = reportedRateLimit(Result, TestNames);
+    REQUIRE_FALSE(Limit);
+    CHECK(Limit.error().Code == error_code::ValueOutOfRange);
+  }
+  removeHeader(Result.Response.Headers, TestNames.RateLimit);
+  CHECK(reportedRateLimit(Result, TestNames).value() == rate_limit{});
+  Result.Response.Status = 421;
+  CHECK(reportedRateLimit(Result, TestNames).value() ==
+        std::optional<rate_limit>());
+  Result.Status = call_status::Truncated;
+  CHECK(reportedRateLimit(Result, TestNames).value() ==
+        std::optional<rate_limit>());
+}
--- a/tests/auto/entry_host/tst_slot_wire.cpp
+++ b/tests/auto/entry_host/tst_slot_wire.cpp
@@ -35,6 +35,11 @@
   const slot_release End = {
       {"host", 7}, slot_outcome::Silent, milliseconds(12)};
   CHECK(fromWire(toWire(End, "service")) == End);
+  for (const rate_limit &Limit : {rate_limit{}, rate_limit{0.5}}) {
+    slot_release Reporting = End;
+    Reporting.ReportedLimit = Limit;
+    CHECK(fromWire(toWire(Reporting, "service")) == Reporting);
+  }
   const slot_lease_report Use = {
       {"host", 7}, "x", "route", Now - milliseconds(5), Now + milliseconds(50)};
   CHECK(fromWire(toWire(Use, "service", Now), Now) == Use);
