Allocation: Keep to the rate limits that backend servers report

Cause: nothing read the limit. Placement granted a server's slots as fast as they became free, and a request of 4 ms frees its slot at once. Evidence: all grants came from one allocator, and rate-limit-changed shows the limits 0.1 to 0.7 s after they were first named.

Change: the allocator of the pool keeps a token bucket for each limited server; a request starts only with a token. The limit is a number for all hosts together, so no host observes it alone. An allocator that takes over, or restarted, knows nothing: the first request of each host to it carries the limits that this host knows, and its buckets start empty. Allocators beside the primary use parts of the limit whose sum stays below one and a half times it (rateLimitShare). What a limit leaves over counts in the expected wait, so that it is refused at once with the time at which it could start. Hedges avoid limited servers. Hosts also report their leases again to an allocator that restarted under the same name.

Ruled out: a second allocator, hosts that allocate for themselves, retries.

--- a/src/libs/allocation/backend_record.cpp
+++ b/src/libs/allocation/backend_record.cpp
@@ -32,6 +32,13 @@
          std::min(Backend.Registration.Slots, Used);
 }
 
+std::uint32_t startableRequests(const backend_record &Backend, time_point Now) {
+  const double Tokens =
+      std::max(0.0, availableTokens(Backend.RateLimiter, Now));
+  const std::uint32_t Free = freeSlots(Backend);
+  return Tokens < Free ? static_cast<std::uint32_t>(Tokens) : Free;
+}
+
 double failureLogOdds(const backend_record &Backend,
                       const std::vector<latency_profile> &Profiles,
                       double PriorLogOdds, time_point Now) {
@@ -63,6 +70,7 @@
                 PriorLogOdds, Now);
     return;
   case slot_outcome::Unreachable:
+    returnToken(Backend.RateLimiter, Now);
     addEvidence(Backend.FailureEstimate, evidence_weight::Unreachable,
                 PriorLogOdds, Now);
     awaitFirstRequestAgain(Backend, Lease, Now);
@@ -79,6 +87,7 @@
     Backend.Misdirected = true;
     return;
   case slot_outcome::NotUsed:
+    returnToken(Backend.RateLimiter, Now);
     awaitFirstRequestAgain(Backend, Lease, Now);
     return;
   }
--- a/src/libs/allocation/backend_record.h
+++ b/src/libs/allocation/backend_record.h
@@ -49,8 +49,7 @@
   bool Misdirected = false;
   /// Whether the server was last reported as suspected of failing.
   bool Suspected = false;
-  /// The rate limit that the server reported last.
-  rate_limit RateLimit;
+  rate_limiter RateLimiter;
   /// The limit as of the last call of takeRateLimitChanges().
   rate_limit PublishedRateLimit;
 };
@@ -62,6 +61,11 @@
 /// \returns the number of slots that no request holds.
 [[nodiscard]] std::uint32_t freeSlots(const backend_record &Backend);
 
+/// \returns the number of requests that may start at \p Now: there is a free
+/// slot for each, and the rate limit allows them.
+[[nodiscard]] std::uint32_t startableRequests(const backend_record &Backend,
+                                              time_point Now);
+
 /// \returns the log odds that \p Backend loses a request. Requests in flight
 /// count as evidence when they take unusually long. \p PriorLogOdds are the log
 /// odds of a server without any evidence.
--- a/src/libs/allocation/placement.cpp
+++ b/src/libs/allocation/placement.cpp
@@ -32,7 +32,12 @@
 // A server that may be healthy should get some requests all the time.
 bool isCoverageCandidate(const backend_record &Backend,
                          const placement_policy &Policy, time_point Now) {
-  return isServing(Backend) &&
+  // A server whose limit allows less than one request per window can't be
+  // covered.
+  const bool MayBeCovered =
+      sustainedRate(Backend.RateLimiter) * toSeconds(Policy.CoverageWindow) >=
+      1;
+  return isServing(Backend) && MayBeCovered &&
          Backend.FailureProbability < Policy.CoverageMaxFailureProbability &&
          Now - Backend.LastFailureAt > Policy.RecentFailureWindow;
 }
@@ -68,8 +73,12 @@
 
 bool canServe(const backend_record &Backend, const slot_request &Request,
               time_point Now) {
-  return isServing(Backend) && Now >= Backend.BackoffUntil &&
-         freeSlots(Backend) > 0 &&
+  // A server that is short of capacity should not get work twice.
+  const bool HedgesAtLimitedServer =
+      Request.RetryReason == retry_reason::Hedge &&
+      Backend.RateLimiter.Limit.RequestsPerSecond;
+  return isServing(Backend) && !HedgesAtLimitedServer &&
+         Now >= Backend.BackoffUntil && startableRequests(Backend, Now) > 0 &&
          !contains(Request.Tried, Backend.Registration.Name) &&
          !contains(Request.Unreachable, Backend.Registration.Name);
 }
--- a/src/libs/allocation/placement.h
+++ b/src/libs/allocation/placement.h
@@ -76,8 +76,9 @@
 };
 
 /// \returns whether \p Backend can take \p Request now: it is serving, is not
-/// backing off, has a free slot, has not been tried for this request and is
-/// reachable from the requesting host.
+/// backing off, has a free slot, is within its rate limit (and has none if the
+/// request is a hedge), has not been tried for this request and is reachable
+/// from the requesting host.
 [[nodiscard]] bool canServe(const backend_record &Backend,
                             const slot_request &Request, time_point Now);
 
--- a/src/libs/allocation/slot_allocator.cpp
+++ b/src/libs/allocation/slot_allocator.cpp
@@ -92,6 +92,7 @@
   Backend.Leases.push_back({Request.Key, Profile, Now, Request.Deadline,
                             Backend.AwaitsFirstRequest});
   Backend.LastGrantAt = Now;
+  consumeToken(Backend.RateLimiter, Now);
   Backend.AwaitsFirstRequest = false;
   slot_answer Answer;
   Answer.Key = Request.Key;
@@ -119,13 +120,23 @@
 // the same or a higher urgency.
 duration expectedWait(slot_allocator &State, const slot_request &Request,
                       time_point Now) {
+  constexpr double MeanOverMedian = 1.3;
+  const duration Expected = expectedDuration(State, Request);
+  const double MeanSeconds = toSeconds(Expected) * MeanOverMedian;
   double Slots = 0;
+  double MinSlots = 1;
   std::ptrdiff_t Free = 0;
   for (const auto &[Name, Backend] : State.Backends) {
     if (canServe(Backend, Request, Now))
-      Free += freeSlots(Backend);
-    if (isServing(Backend))
-      Slots += Backend.Registration.Slots * (1 - Backend.FailureProbability);
+      Free += startableRequests(Backend, Now);
+    if (!isServing(Backend))
+      continue;
+    // A rate limit keeps some of the slots empty.
+    const double UsableSlots =
+        std::min<double>(Backend.Registration.Slots,
+                         sustainedRate(Backend.RateLimiter) * MeanSeconds);
+    Slots += UsableSlots * (1 - Backend.FailureProbability);
+    MinSlots = std::min(MinSlots, UsableSlots);
   }
   const auto Ahead =
       std::ranges::count_if(State.Queue, [&Request](const slot_request &Other) {
@@ -135,10 +146,9 @@
   // the end, so each free slot serves one of them.
   if (Ahead < Free)
     return duration::zero();
-  constexpr double MeanOverMedian = 1.3;
   const double ServiceRounds =
-      static_cast<double>(Ahead + 1) / std::max(1.0, Slots) * MeanOverMedian;
-  return std::chrono::duration_cast<duration>(expectedDuration(State, Request) *
+      static_cast<double>(Ahead + 1) / std::max(MinSlots, Slots);
+  return std::chrono::duration_cast<duration>(Expected * MeanOverMedian *
                                               ServiceRounds);
 }
 
@@ -203,10 +213,25 @@
   Record.FailureProbability = logOddsToProbability(State.PriorLogOdds);
   Record.JoinedAt = Now;
   Record.LastGrantAt = Now;
+  Record.RateLimiter.Share = State.RateLimitShare;
+  // Older reports are about an earlier start of the server.
+  if (State.FirstBackendListAt)
+    Record.RateLimiter.ReportedAt = Now;
   Record.AwaitsFirstRequest = State.FirstBackendListAt.has_value();
   return Record;
 }
 
+void applyKnownLimits(slot_allocator &State,
+                      const std::vector<known_rate_limit> &Limits,
+                      time_point Now) {
+  for (const known_rate_limit &Known : Limits) {
+    const auto Found = State.Backends.find(Known.Backend);
+    if (Found != State.Backends.end())
+      applyReport(Found->second.RateLimiter, Known.Limit, Known.ReportedAt,
+                  Now);
+  }
+}
+
 bool isSameInstance(const backend_registration &Left,
                     const backend_registration &Right) {
   return Left.StartedAtUnixMs == Right.StartedAtUnixMs &&
@@ -236,9 +261,19 @@
     State.FirstBackendListAt = Now;
 }
 
+void setRole(slot_allocator &State, allocator_role Role, std::size_t HostCount,
+             time_point Now) {
+  const double Share = rateLimitShare(Role, HostCount);
+  if (std::exchange(State.RateLimitShare, Share) == Share)
+    return;
+  for (auto &[Name, Backend] : State.Backends)
+    setShare(Backend.RateLimiter, Share, Now);
+}
+
 slot_answer requestSlot(slot_allocator &State, const slot_request &Request,
                         time_point Now) {
   refreshBackends(State, Now);
+  applyKnownLimits(State, Request.KnownLimits, Now);
   if (Request.RetryReason == retry_reason::None)
     recordRequest(State.RetryWindow, State.RetryLimits, Now);
   else if (!isHedge(Request) &&
@@ -268,7 +303,7 @@
     latency_profile &Profile = State.Profiles[Lease.Profile];
     recordOutcome(Backend, Lease, Release, Profile, State.PriorLogOdds, Now);
     if (Release.ReportedLimit)
-      Backend.RateLimit = *Release.ReportedLimit;
+      applyReport(Backend.RateLimiter, *Release.ReportedLimit, Now, Now);
     if (Release.Outcome == slot_outcome::Succeeded)
       recordDuration(Profile, Release.Elapsed, Now);
     refreshFailureProbability(State, Backend, Now);
@@ -332,10 +367,11 @@
 std::vector<rate_limit_change> takeRateLimitChanges(slot_allocator &State) {
   std::vector<rate_limit_change> Changes;
   for (auto &[Name, Backend] : State.Backends) {
-    if (Backend.RateLimit == Backend.PublishedRateLimit)
+    const rate_limit &Limit = Backend.RateLimiter.Limit;
+    if (Limit == Backend.PublishedRateLimit)
       continue;
-    Changes.push_back({Name, Backend.PublishedRateLimit, Backend.RateLimit});
-    Backend.PublishedRateLimit = Backend.RateLimit;
+    Changes.push_back({Name, Backend.PublishedRateLimit, Limit});
+    Backend.PublishedRateLimit = Limit;
   }
   return Changes;
 }
--- a/src/libs/allocation/slot_allocator.h
+++ b/src/libs/allocation/slot_allocator.h
@@ -52,6 +52,8 @@
   /// Index into Profiles by request class.
   std::map<std::string, std::size_t> ProfileIndices;
   retry_window RetryWindow;
+  /// The part of each rate limit that this allocator uses, see setRole().
+  double RateLimitShare = 1;
   /// When the first list of backend servers arrived.
   std::optional<time_point> FirstBackendListAt;
   /// When the failure probabilities in Backends were last refreshed.
@@ -66,6 +68,11 @@
                  const std::vector<backend_registration> &Backends,
                  time_point Now);
 
+/// Sets the role of the allocator in a fleet of \p HostCount hosts, which
+/// determines the part of each rate limit that it uses.
+void setRole(slot_allocator &State, allocator_role Role, std::size_t HostCount,
+             time_point Now);
+
 /// Requests a slot. \returns an answer with the verdict Granted, Queued or
 /// Refused.
 [[nodiscard]] slot_answer
--- a/src/libs/allocation/slot_messages.h
+++ b/src/libs/allocation/slot_messages.h
@@ -51,6 +51,9 @@
   std::vector<std::string> Tried;
   /// Backend servers that the requesting host cannot reach.
   std::vector<std::string> Unreachable;
+  /// Rate limits that the requesting host knows and the allocator may not,
+  /// because it has just taken over.
+  std::vector<known_rate_limit> KnownLimits;
   bool operator==(const slot_request &) const = default;
 };
 
--- a/src/libs/entry_host/slot_broker.cpp
+++ b/src/libs/entry_host/slot_broker.cpp
@@ -27,6 +27,9 @@
 constexpr std::size_t MaxAllocatorsTried = 2;
 // Pools tried for one request: if one is overloaded, another may have room.
 constexpr int MaxPoolsTried = 2;
+// A rate limit that was reported longer ago is not passed on: the server may
+// have lifted it since.
+constexpr duration KnownLimitMaxAge = seconds(30);
 constexpr std::string_view PoolUnknown = "pool-unknown";
 
 std::string allocatorDuty(const std::string &Pool) { return "slots/" + Pool; }
@@ -82,17 +85,33 @@
 // A host that allocates only for itself doesn't know how much of the retry
 // budget the other hosts spend, so it takes an even share of it.
 retry_limits slot_broker::retryLimitsFor(const std::string &Pool,
-                                         bool ForOthers) const {
+                                         allocator_role Role) const {
   std::size_t ShareCount = 1;
   for (const auto &[Service, ServicePools] : Services)
     if (std::ranges::find(ServicePools.Pools, Pool, &server_pool::Name) !=
         ServicePools.Pools.end())
       ShareCount = ServicePools.Pools.size();
-  if (!ForOthers)
+  if (Role == allocator_role::Local)
     ShareCount *= std::max<std::size_t>(1, Peers.members().size());
   return divideRetryLimits(Retries, ShareCount);
 }
 
+allocator_role slot_broker::roleFor(const std::string &Pool) const {
+  for (const std::string &Host : Peers.hostsRankedFor(allocatorDuty(Pool))) {
+    if (Host == Self)
+      return allocator_role::Primary;
+    if (Peers.isUsable(Host))
+      break;
+  }
+  return allocator_role::StandIn;
+}
+
+void slot_broker::updateRole(slot_allocator &State, const std::string &Pool,
+                             allocator_role Role) {
+  State.RetryLimits = retryLimitsFor(Pool, Role);
+  setRole(State, Role, Peers.members().size(), Clock.now());
+}
+
 slot_allocator &slot_broker::allocationFor(const std::string &Name) {
   const auto Found = Allocations.find(Name);
   if (Found != Allocations.end())
@@ -137,17 +156,21 @@
     Allocations.erase(Name);
 }
 
-void slot_broker::switchAllocator(const std::string &Pool,
+// Reports the leases of this host to the allocator if it is a new one.
+// \returns whether it is.
+bool slot_broker::switchAllocator(const std::string &Pool,
                                   const std::string &Host) {
-  std::string &Current = CurrentAllocators[Pool];
-  if (Current == Host)
-    return;
+  current_allocator &Current = CurrentAllocators[Pool];
+  const link_pointer Link = Peers.linkTo(Host);
+  const bool SameHost = Current.Host == Host;
+  if (SameHost && Current.Link.lock() == Link)
+    return false;
   logEvent(log_level::Info, "allocator-changed",
-           {{"pool", Pool}, {"from", Current}, {"to", Host}});
-  Current = Host;
+           {{"pool", Pool}, {"from", Current.Host}, {"to", Host}});
+  Current = {Host, Link};
   const time_point Now = Clock.now();
   for (const auto &[Id, Slot] : HeldSlots) {
-    if (Slot.Pool != Pool || Slot.Allocator == Host)
+    if (Slot.Pool != Pool || (Slot.Allocator == Host && !SameHost))
       continue;
     const slot_lease_report Report = {
         {Self, Id}, Slot.Backend, Slot.Work, Slot.Start, Slot.Deadline};
@@ -156,6 +179,23 @@
     else
       Peers.send(Host, makeBody(toWire(Report, Pool, Now)));
   }
+  return true;
+}
+
+std::vector<known_rate_limit>
+slot_broker::knownLimitsFor(const std::string &PoolName) const {
+  const server_pool *Pool = findPool(PoolName);
+  const time_point Now = Clock.now();
+  std::vector<known_rate_limit> Limits;
+  if (!Pool)
+    return Limits;
+  for (const backend_registration &Server : Pool->Servers) {
+    const auto Known = KnownLimits.find(Server.Name);
+    if (Known != KnownLimits.end() &&
+        Now - Known->second.ReportedAt < KnownLimitMaxAge)
+      Limits.push_back(Known->second);
+  }
+  return Limits;
 }
 
 void slot_broker::requestLocally(const std::string &Pool,
@@ -167,7 +207,8 @@
   const std::vector<std::string> Candidates = allocatorCandidates(Pool);
   const bool IsAssignedAllocator =
       std::ranges::find(Candidates, Self) + 1 != Candidates.end();
-  State.RetryLimits = retryLimitsFor(Pool, IsAssignedAllocator);
+  updateRole(State, Pool,
+             IsAssignedAllocator ? roleFor(Pool) : allocator_role::Local);
   const slot_answer Answer = requestSlot(State, Request, Clock.now());
   logAllocatorChanges(Pool, State);
   if (Answer.Verdict == slot_verdict::Queued)
@@ -224,7 +265,8 @@
   for (const std::string &Host : allocatorCandidates(Pool)) {
     Pending->Allocator = Host;
     Pending->Acknowledged = false;
-    switchAllocator(Pool, Host);
+    if (switchAllocator(Pool, Host))
+      Request.KnownLimits = knownLimitsFor(Pool);
     if (Host == Self)
       requestLocally(Pool, Request, Pending);
     else
@@ -291,6 +333,19 @@
   advanceQueue(Pool);
 }
 
+void slot_broker::noteRateLimit(const std::string &Backend,
+                                const rate_limit &Limit) {
+  const time_point Now = Clock.now();
+  if (!Limit.RequestsPerSecond) {
+    KnownLimits.erase(Backend);
+    return;
+  }
+  std::erase_if(KnownLimits, [Now](const auto &Entry) {
+    return Now - Entry.second.ReportedAt >= KnownLimitMaxAge;
+  });
+  KnownLimits[Backend] = {Backend, Limit, Now};
+}
+
 void slot_broker::release(std::uint64_t Id, slot_outcome Outcome,
                           duration Elapsed,
                           std::optional<rate_limit> ReportedLimit) {
@@ -299,9 +354,11 @@
     return;
   const held_slot Slot = Found->second;
   HeldSlots.erase(Found);
+  if (ReportedLimit)
+    noteRateLimit(Slot.Backend, *ReportedLimit);
   const slot_release End = {{Self, Id}, Outcome, Elapsed, ReportedLimit};
   sendSlotEnd(Slot.Allocator, Slot.Pool, End);
-  const std::string &Current = CurrentAllocators[Slot.Pool];
+  const std::string &Current = CurrentAllocators[Slot.Pool].Host;
   if (Current != Slot.Allocator && !Current.empty())
     sendSlotEnd(Current, Slot.Pool, End);
 }
@@ -395,7 +452,7 @@
     return;
   }
   slot_allocator &State = allocationFor(Value.pool);
-  State.RetryLimits = retryLimitsFor(Value.pool, true);
+  updateRole(State, Value.pool, roleFor(Value.pool));
   const slot_answer Answer = requestSlot(State, Request, Now);
   deliverAnswer(Value.pool, Answer);
   logAllocatorChanges(Value.pool, State);
@@ -462,8 +519,8 @@
 
 json::object slot_broker::dump() const {
   json::object Pools;
-  for (const auto &[Pool, Host] : CurrentAllocators)
-    Pools[Pool] = json::object{{"allocator", Host}};
+  for (const auto &[Pool, Current] : CurrentAllocators)
+    Pools[Pool] = json::object{{"allocator", Current.Host}};
   json::object Allocated;
   for (const auto &[Pool, State] : Allocations) {
     json::array Servers;
@@ -473,9 +530,10 @@
                          {"draining", Backend.Registration.Draining},
                          {"in_use", Backend.Leases.size()},
                          {"slots", Backend.Registration.Slots},
-                         {"requests_per_s", toJson(Backend.RateLimit)},
+                         {"requests_per_s", toJson(Backend.RateLimiter.Limit)},
                          {"sick_probability", Backend.FailureProbability}});
     Allocated[Pool] = json::object{{"waiting", State.Queue.size()},
+                                   {"rate_limit_share", State.RateLimitShare},
                                    {"backend_servers", std::move(Servers)}};
   }
   return {{"slots_held", HeldSlots.size()},
--- a/src/libs/entry_host/slot_broker.h
+++ b/src/libs/entry_host/slot_broker.h
@@ -83,6 +83,12 @@
     bool Acknowledged = false;
     std::optional<slot_answer> Answer;
   };
+  /// The allocator that this host uses for a pool. A host that restarted is
+  /// another allocator, over another link, and knows nothing yet.
+  struct current_allocator {
+    std::string Host;
+    std::weak_ptr<frame_link> Link;
+  };
   struct held_slot {
     std::string Pool;
     std::string Allocator;
@@ -97,8 +103,13 @@
   void updateAllocations();
   [[nodiscard]] const server_pool *findPool(const std::string &Pool) const;
   [[nodiscard]] const server_pool &choosePool(const std::string &Service);
+  [[nodiscard]] allocator_role roleFor(const std::string &Pool) const;
   [[nodiscard]] retry_limits retryLimitsFor(const std::string &Pool,
-                                            bool ForOthers) const;
+                                            allocator_role Role) const;
+  void updateRole(slot_allocator &State, const std::string &Pool,
+                  allocator_role Role);
+  [[nodiscard]] std::vector<known_rate_limit>
+  knownLimitsFor(const std::string &Pool) const;
   asio::awaitable<acquired_slot> acquireFrom(std::string Pool,
                                              slot_request Request,
                                              std::shared_ptr<slot_wait> Wait);
@@ -109,7 +120,9 @@
                                     std::shared_ptr<slot_wait> Wait);
   void requestLocally(const std::string &Pool, const slot_request &Request,
                       const pending_pointer &Pending);
-  void switchAllocator(const std::string &Pool, const std::string &Host);
+  [[nodiscard]] bool switchAllocator(const std::string &Pool,
+                                     const std::string &Host);
+  void noteRateLimit(const std::string &Backend, const rate_limit &Limit);
   void sendSlotEnd(const std::string &Allocator, const std::string &Pool,
                    const slot_release &End);
   void deliverAnswer(const std::string &Pool, const slot_answer &Answer);
@@ -135,7 +148,10 @@
   std::map<std::uint64_t, pending_pointer> PendingSlots;
   std::map<std::uint64_t, held_slot> HeldSlots;
   /// By pool.
-  std::map<std::string, std::string> CurrentAllocators;
+  std::map<std::string, current_allocator> CurrentAllocators;
+  /// The rate limits in the responses that this host got, by backend server;
+  /// reported to an allocator that takes over.
+  std::map<std::string, known_rate_limit> KnownLimits;
   std::map<std::string, std::weak_ptr<frame_link>> RequesterLinks;
   std::uint64_t NextId;
   bool AdvanceLoopRunning = false;
--- a/src/libs/entry_host/slot_wire.cpp
+++ b/src/libs/entry_host/slot_wire.cpp
@@ -44,6 +44,13 @@
   Value.repeat = static_cast<std::uint8_t>(Request.RetryReason);
   Value.tried = Request.Tried;
   Value.unreachable = Request.Unreachable;
+  for (const known_rate_limit &Known : Request.KnownLimits) {
+    auto Entry = std::make_unique<wire::known_rate_limit_value>();
+    Entry->backend_server = Known.Backend;
+    Entry->limit = toWire(Known.Limit);
+    Entry->age_ms = toWireMs(Now - Known.ReportedAt);
+    Value.known_limits.push_back(std::move(Entry));
+  }
   return Value;
 }
 
@@ -61,6 +68,11 @@
       Value.repeat, static_cast<std::uint8_t>(retry_reason::Hedge)));
   Request.Tried = Value.tried;
   Request.Unreachable = Value.unreachable;
+  for (const auto &Entry : Value.known_limits)
+    if (Entry->limit)
+      Request.KnownLimits.push_back({Entry->backend_server,
+                                     fromWire(*Entry->limit),
+                                     Now - milliseconds(Entry->age_ms)});
   return Request;
 }
 
--- a/tests/auto/entry_host/tst_fleet.cpp
+++ b/tests/auto/entry_host/tst_fleet.cpp
@@ -180,3 +180,53 @@
     co_return;
   });
 }
+
+TEST_CASE("all hosts together keep to a server's rate limit, also when its "
+          "allocator leaves") {
+  constexpr int HostCount = 4;
+  constexpr double RequestsPerSecond = 2;
+  fleet_fixture Fleet(HostCount);
+  std::vector<time_point> Arrivals;
+  Fleet.addBackend([&](http_request Request) -> asio::awaitable<http_response> {
+    Arrivals.push_back(Fleet.Clock.now());
+    http_response Response = signedResponse(Request);
+    setHeader(Response.Headers, TestNames.RateLimit,
+              std::to_string(RequestsPerSecond));
+    co_return Response;
+  });
+  host_settings LongGrace;
+  LongGrace.GracePeriod = seconds(10);
+  int Left = HostCount;
+  const auto SendLoad = [&](duration Length) -> asio::awaitable<void> {
+    const time_point End = Fleet.Clock.now() + Length;
+    for (int Count = 0; Fleet.Clock.now() < End; ++Count) {
+      const int Number = Count % HostCount;
+      if (Number != Left)
+        asio::co_spawn(
+            Fleet.Context,
+            [&Fleet, Count, Number]() -> asio::awaitable<void> {
+              (void)co_await Fleet.sendAndReceive(
+                  Fleet.requestText("GET", "/read/",
+                                    "r" + std::to_string(Count)),
+                  1, Number);
+            },
+            asio::detached);
+      co_await pauseFor(milliseconds(15));
+    }
+  };
+  Fleet.run([&]() -> asio::awaitable<void> {
+    co_await pauseFor(seconds(3));
+    co_await SendLoad(seconds(3));
+    Left = allocatorOf(*Fleet.Hosts[0]).back() - '0';
+    Fleet.Hosts[static_cast<std::size_t>(Left)]->reload(LongGrace);
+    Fleet.Hosts[static_cast<std::size_t>(Left)]->leave();
+    co_await SendLoad(milliseconds(2500));
+  });
+  REQUIRE_FALSE(Arrivals.empty());
+  constexpr double Seconds = 4.5;
+  const auto CountedFrom =
+      std::ranges::upper_bound(Arrivals, Arrivals.front() + seconds(1));
+  const auto Counted = static_cast<double>(Arrivals.end() - CountedFrom);
+  CHECK(Counted <= 1.5 * Seconds * RequestsPerSecond + 5);
+  CHECK(Counted >= Seconds * RequestsPerSecond - 2);
+}
--- a/tests/auto/entry_host/tst_slot_wire.cpp
+++ b/tests/auto/entry_host/tst_slot_wire.cpp
@@ -24,6 +24,8 @@
   Request.RetryReason = retry_reason::Hedge;
   Request.Tried = {"x"};
   Request.Unreachable = {"y", "z"};
+  Request.KnownLimits = {{"x", {1.5}, Now - milliseconds(70)},
+                         {"y", {}, Now - milliseconds(5)}};
   CHECK(fromWire(toWire(Request, "service", Now), Now) == Request);
   slot_answer Answer;
   Answer.Key = {"host", 7};
