--- a/src/libs/entry_host/fleet_view.cpp
+++ b/src/libs/entry_host/fleet_view.cpp
@@ -242,8 +242,12 @@
 
 void fleet_view::applyConfig(const config_document &Next, time_point ReadAt) {
   confirmConfig(ReadAt);
-  if (Next.Revision <= SeenRevision)
+  if (Next.Revision <= SeenRevision) {
+    if (Document && Next.Text != Document->Text)
+      logEvent(log_level::Warning, "config-revision-not-newer",
+               {{"revision", Next.Revision}, {"seen", SeenRevision}});
     return;
+  }
   SeenRevision = Next.Revision;
   const result<routing_config> Decoded = Platform.decodeConfig(Next);
   if (!Decoded) {
