--- a/tests/auto/platform/fake_object_store.h
+++ b/tests/auto/platform/fake_object_store.h
@@ -32,13 +32,19 @@
   bool WatchesMissEvents = false;
 };
 
+/// The stored objects and their revision at one moment.
+struct store_copy {
+  std::map<std::string, std::map<std::string, json::object>> Objects;
+  std::uint64_t Revision = 0;
+};
+
 class fake_object_store {
 public:
   explicit fake_object_store(asio::io_context &Context)
       : Context(Context),
         Server(Context, {},
                [this](http_request Request, std::shared_ptr<peer_connection>) {
-                 return serve(std::move(Request));
+                 return serveWithEpoch(std::move(Request));
                }) {}
 
   result<void> listen(const socket_address &Address) {
@@ -70,6 +76,17 @@
     return Objects[Kind].contains(Name);
   }
 
+  [[nodiscard]] store_copy copy() const { return {Objects, Revision}; }
+
+  /// Replaces all objects and the revision by an older copy, as when the store
+  /// is restored after a loss of data.
+  void restore(const store_copy &Copy) {
+    Objects = Copy.Objects;
+    Revision = Copy.Revision;
+    Events.clear();
+    ++Epoch;
+  }
+
   store_faults Faults;
   /// Objects in one page of a list.
   std::size_t PageSize = 500;
@@ -90,6 +107,17 @@
     return Response;
   }
 
+  asio::awaitable<http_response> serveWithEpoch(http_request Request) {
+    const std::uint64_t EpochAtStart = Epoch;
+    http_response Response = co_await serve(std::move(Request));
+    // The restore cuts the calls that are waiting.
+    if (Epoch != EpochAtStart)
+      co_return closedConnection();
+    if (!Response.RawBytes)
+      setHeader(Response.Headers, "Store-Era", std::to_string(Epoch));
+    co_return Response;
+  }
+
   asio::awaitable<http_response> serve(http_request Request) {
     ++Calls;
     if (Faults.Down)
@@ -137,6 +165,8 @@
       co_return jsonResponse(410, "{}");
     const auto SinceRevision =
         static_cast<std::uint64_t>(queryNumber(Target, "watch", 0));
+    if (SinceRevision > Revision)
+      co_return jsonResponse(410, "{}");
     auto RemainingMs = queryNumber(Target, "wait_ms", 0);
     constexpr int StepMs = 2;
     for (; RemainingMs > 0; RemainingMs -= StepMs) {
@@ -180,6 +210,7 @@
   std::map<std::string, std::map<std::string, json::object>> Objects;
   std::deque<event> Events;
   std::uint64_t Revision = 100;
+  std::uint64_t Epoch = 1;
   http_server Server;
 };
 
