Store: Order configurations and registrations across restores of the store

Cause: the revision of the store was taken for a number that only grows. The adapter passed on a document only above the highest revision seen, a watch went on from a revision that the store had given out again, and hosts compared revisions with each other. Evidence: store-epoch-changed is logged at 17.1 s, the change of 21.5 s leaves no line on any host, and tst_store_restore reproduces both.

Change: a position in the store's history is the pair of epoch and revision. A watch or a list does not go on across epochs. Hosts announce and compare the version of the configuration, which is the operator's and only grows, so that a host neither misses a change nor returns to an older one. The same cause looked for elsewhere: registrations of servers are ordered by start and sequence, so that a copy neither brings back a server that was removed nor makes a draining one ready; servers that a copy lacks have the grace period of an outage; hosts whose registrations are lost stay members for 6 s while they register again. view_push keeps config_revision for hosts that do not know config_version.

--- a/src/libs/discovery/backend_registration.h
+++ b/src/libs/discovery/backend_registration.h
@@ -26,6 +26,8 @@
   /// When the server started. An entry with the same name but another start
   /// time is another backend server. Zero if the server didn't report it.
   std::uint64_t StartedAtUnixMs = 0;
+  /// Counts what the server has reported since its start. Zero if unknown.
+  std::uint64_t Sequence = 0;
   auto operator<=>(const backend_registration &) const = default;
 };
 
--- a/src/libs/entry_host/fleet_view.cpp
+++ b/src/libs/entry_host/fleet_view.cpp
@@ -204,24 +204,31 @@
     co_return;
   const time_point RequestedAt = Clock.now();
   BackendsRequestedAt = RequestedAt;
-  const result<std::vector<backend_registration>> Listed =
-      co_await Platform.readBackends();
+  const result<backend_listing> Listed = co_await Platform.readBackends();
   ReadingBackends = false;
   recordPlatformResult(failureOf(Listed));
   if (!Listed)
     co_return;
-  if (mergePlatformList(Directory, *Listed, RequestedAt))
+  if (mergePlatformList(Directory, Listed->Servers, Listed->Epoch, RequestedAt))
     publishBackends();
   pushAll();
 }
 
 void fleet_view::applyMembers(std::vector<fleet_member> Listed) {
   Registered = std::ranges::find(Listed, Self) != Listed.end();
-  if (!Registered)
-    Listed.push_back(Self);
-  std::ranges::sort(Listed);
-  MembersVersion = memberListVersion(Listed);
-  Peers.setMembers(std::move(Listed));
+  replaceMembers(Members, std::move(Listed), Clock.now());
+  MembersVersion = memberListVersion(Members.Listed);
+  updatePeers();
+}
+
+void fleet_view::updatePeers() {
+  std::vector<fleet_member> Current = currentMembers(Members, Clock.now());
+  std::erase_if(Current, [this](const fleet_member &Member) {
+    return Member.Host == Self.Host;
+  });
+  Current.push_back(Self);
+  std::ranges::sort(Current);
+  Peers.setMembers(std::move(Current));
 }
 
 asio::awaitable<void> fleet_view::readMembers(bool AllowStale) {
@@ -240,25 +247,32 @@
   ConfigConfirmedAt = std::max(At, ConfigConfirmedAt.value_or(At));
 }
 
-void fleet_view::applyConfig(const config_document &Next, time_point ReadAt) {
+void fleet_view::applyPlatformConfig(const config_document &Read,
+                                     time_point ReadAt) {
   confirmConfig(ReadAt);
-  if (Next.Revision <= SeenRevision) {
-    if (Document && Next.Text != Document->Text)
-      logEvent(log_level::Warning, "config-revision-not-newer",
-               {{"revision", Next.Revision}, {"seen", SeenRevision}});
+  if (Read.Position <= SeenPosition)
     return;
-  }
-  SeenRevision = Next.Revision;
+  SeenPosition = Read.Position;
+  applyConfig(Read);
+}
+
+// Versions are the operator's and only rise, whereas the positions of documents
+// begin anew when the store is restored. Therefore the version alone decides.
+void fleet_view::applyConfig(const config_document &Next) {
+  const json::object Origin = {{"epoch", Next.Position.Epoch},
+                               {"revision", Next.Position.Revision}};
   const result<routing_config> Decoded = Platform.decodeConfig(Next);
   if (!Decoded) {
-    logEvent(
-        log_level::Error, "config-unreadable",
-        {{"revision", Next.Revision}, {"detail", toString(Decoded.error())}});
+    logEvent(log_level::Error, "config-unreadable",
+             {{"position", Origin}, {"detail", toString(Decoded.error())}});
     return;
   }
-  if (Config && Decoded->Version < Config->Version) {
-    logEvent(log_level::Warning, "config-older-refused",
-             {{"version", Decoded->Version}, {"held", Config->Version}});
+  if (Config && Decoded->Version <= Config->Version) {
+    if (Decoded->Version < Config->Version)
+      logEvent(log_level::Warning, "config-older-refused",
+               {{"position", Origin},
+                {"version", Decoded->Version},
+                {"held", Config->Version}});
     return;
   }
   Document = Next;
@@ -266,7 +280,7 @@
   Handlers.OnConfig(*Config);
   logEvent(log_level::Info, "config-in-force",
            {{"version", Config->Version},
-            {"revision", Next.Revision},
+            {"position", Origin},
             {"routes", Config->Routes.size()}});
   pushAll();
 }
@@ -281,7 +295,7 @@
   recordPlatformResult(failureOf(Read));
   if (!Read)
     co_return false;
-  applyConfig(*Read, RequestedAt);
+  applyPlatformConfig(*Read, RequestedAt);
   co_return Config.has_value();
 }
 
@@ -295,7 +309,7 @@
     }
     const time_point RequestedAt = Clock.now();
     const result<std::optional<config_document>> Next =
-        co_await Platform.awaitConfig(SeenRevision, ConfigWatchTimeout);
+        co_await Platform.awaitConfig(SeenPosition, ConfigWatchTimeout);
     recordPlatformResult(failureOf(Next));
     if (!Next) {
       // A watch can be refused, or its revision history have expired, while
@@ -309,7 +323,7 @@
       continue;
     }
     if (*Next)
-      applyConfig(**Next, RequestedAt);
+      applyPlatformConfig(**Next, RequestedAt);
     else
       confirmConfig(std::min(RequestedAt + ConfigWatchTimeout, Clock.now()));
   }
@@ -349,6 +363,8 @@
 
 void fleet_view::tick() {
   const time_point Now = Clock.now();
+  if (!Members.Unlisted.empty())
+    updatePeers();
   const bool Reader = isReader();
   if (mayReadPlatform() && Now - BackendsRequestedAt >= readInterval())
     asio::co_spawn(Context, readBackends(), asio::detached);
@@ -379,7 +395,7 @@
           {"members", Peers.members().size()},
           {"backend_servers", Directory.Backends.size()},
           {"subscribers", Subscribers.size()},
-          {"config_version", Config ? Config->Version : 0},
+          {"config_version", configVersion()},
           {"config_is_current", configIsCurrent()}};
 }
 
--- a/src/libs/entry_host/fleet_view.h
+++ b/src/libs/entry_host/fleet_view.h
@@ -13,6 +13,7 @@
 
 #include "discovery/backend_directory.h"
 #include "discovery/backend_list_history.h"
+#include "discovery/member_directory.h"
 #include "routing/routing_config.h"
 #include "utils/clock.h"
 #include "utils/json.h"
@@ -81,16 +82,22 @@
   [[nodiscard]] wire::view_subscribe_value makeSubscription() const;
   [[nodiscard]] bool isReader() const;
   [[nodiscard]] bool isStale() const;
+  /// \returns the version of the configuration in force, or zero.
+  [[nodiscard]] std::uint64_t configVersion() const {
+    return Config ? Config->Version : 0;
+  }
   [[nodiscard]] bool heardRecently(const std::string &Host) const;
   [[nodiscard]] bool mayReadPlatform() const;
   [[nodiscard]] duration directReadAge() const;
   [[nodiscard]] std::string readerHost() const;
   void push(subscriber &To);
   void pushAll();
-  void applyConfig(const config_document &Document, time_point ReadAt);
+  void applyPlatformConfig(const config_document &Read, time_point ReadAt);
+  void applyConfig(const config_document &Next);
   void confirmConfig(time_point At);
   void maintainMembers();
   void applyMembers(std::vector<fleet_member> Listed);
+  void updatePeers();
   void publishBackends();
   void recordPlatformResult(const std::optional<error> &Failure);
   void receivePush(const link_pointer &Link, const wire::view_push_value &Push);
@@ -113,6 +120,7 @@
   fleet_view_handlers Handlers;
   backend_directory Directory;
   backend_list_history BackendLists;
+  member_directory Members;
   std::uint64_t MembersVersion = 0;
   std::optional<routing_config> Config;
   std::optional<config_document> Document;
@@ -120,9 +128,10 @@
   std::optional<time_point> ConfigConfirmedAt;
   std::map<std::string, subscriber> Subscribers;
   std::map<std::string, time_point> UnheardSince;
-  /// The newest revision read, even if it was rejected.
-  std::uint64_t SeenRevision = 0;
-  std::uint64_t AnnouncedRevision = 0;
+  /// The newest document read from the platform, even if it was rejected.
+  history_position SeenPosition;
+  /// The highest version that another host has announced.
+  std::uint64_t AnnouncedVersion = 0;
   time_point ReaderSince;
   time_point StartedAt;
   time_point MembersRequestedAt;
--- a/src/libs/entry_host/fleet_view_exchange.cpp
+++ b/src/libs/entry_host/fleet_view_exchange.cpp
@@ -65,7 +65,9 @@
   Push.age_ms = toWireMs(directoryAge());
   Push.members_age_ms = toWireMs(membersAge());
   Push.config_age_ms = toWireMs(configAge());
-  Push.config_revision = SeenRevision;
+  Push.config_revision = SeenPosition.Revision;
+  Push.config_version = configVersion();
+  Push.store_epoch = Directory.Epoch;
   Push.backends_version = newestVersion(BackendLists);
   Push.has_backends = Push.backends_version != To.BackendsVersion;
   if (Push.has_backends) {
@@ -79,7 +81,7 @@
   Push.members_version = MembersVersion;
   Push.has_members = Push.members_version != To.MembersVersion;
   if (Push.has_members) {
-    Push.members = toWire(Peers.members());
+    Push.members = toWire(Members.Listed);
     To.MembersVersion = Push.members_version;
   }
   envelope Message;
@@ -120,7 +122,8 @@
       subscribe();
       return;
     }
-    if (replaceWithPeerList(Directory, std::move(*Next), ReadAt))
+    if (replaceWithPeerList(Directory, std::move(*Next), Push.store_epoch,
+                            ReadAt))
       publishBackends();
   } else if (Push.backends_version == newestVersion(BackendLists)) {
     Directory.ConfirmedAt = ReadAt;
@@ -137,12 +140,12 @@
 
 void fleet_view::receiveConfigAge(const link_pointer &Link,
                                   const wire::view_push_value &Push) {
-  if (Push.config_revision <= SeenRevision) {
-    if (Push.config_revision == SeenRevision)
+  if (Push.config_version <= configVersion()) {
+    if (Config && Push.config_version == Config->Version)
       confirmConfig(Clock.now() - milliseconds(Push.config_age_ms));
     return;
   }
-  AnnouncedRevision = Push.config_revision;
+  AnnouncedVersion = Push.config_version;
   for (const std::string &Host : Peers.hostsRankedFor(ReaderDuty))
     if (Peers.linkTo(Host) == Link) {
       asio::co_spawn(Context, fetchConfigFrom(Host), asio::detached);
@@ -170,7 +173,7 @@
   if (Message.body.Asconfig_fetch()) {
     wire::config_document_value Answer;
     if (Document) {
-      Answer.revision = Document->Revision;
+      Answer.revision = Document->Position.Revision;
       Answer.text = Document->Text;
     }
     Link->answer(Message, makeBody(std::move(Answer)));
@@ -190,10 +193,10 @@
         co_await Link->request(std::move(Body), FetchTimeout);
     const wire::config_document_value *Value =
         Answer ? Answer->body.Asconfig_document() : nullptr;
-    if (Value && Value->revision > SeenRevision)
-      applyConfig({Value->revision, Value->text}, Clock.now());
+    if (Value && !Value->text.empty())
+      applyConfig({{0, Value->revision}, Value->text});
   }
-  if (SeenRevision < AnnouncedRevision)
+  if (configVersion() < AnnouncedVersion)
     (void)co_await readConfig();
   FetchingConfig = false;
 }
--- a/src/libs/entry_host/platform_port.h
+++ b/src/libs/entry_host/platform_port.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -18,9 +19,27 @@
 
 namespace asio = boost::asio;
 
+/// A position in the history of the platform's store. Each restore of the store
+/// from an older copy begins a new epoch, in which revisions of the one before
+/// are given out again.
+struct history_position {
+  /// Zero if the platform reports none.
+  std::uint64_t Epoch = 0;
+  std::uint64_t Revision = 0;
+  auto operator<=>(const history_position &) const = default;
+};
+
+/// The backend servers that the platform lists.
+struct backend_listing {
+  std::vector<backend_registration> Servers;
+  /// The epoch of the store's history that the list is from.
+  std::uint64_t Epoch = 0;
+  bool operator==(const backend_listing &) const = default;
+};
+
 /// A configuration as stored on the platform.
 struct config_document {
-  std::uint64_t Revision = 0;
+  history_position Position;
   std::string Text;
   bool operator==(const config_document &) const = default;
 };
@@ -35,18 +54,17 @@
   /// Reads the current configuration.
   virtual asio::awaitable<result<config_document>> readConfig() = 0;
 
-  /// Waits up to \p Timeout for a configuration newer than \p Revision.
+  /// Waits up to \p Timeout for a configuration stored after \p Since.
   /// \returns nothing if there is none by then.
   virtual asio::awaitable<result<std::optional<config_document>>>
-  awaitConfig(std::uint64_t Revision, duration Timeout) = 0;
+  awaitConfig(history_position Since, duration Timeout) = 0;
 
   /// Decodes a configuration. Fails with AnswerMalformed.
   [[nodiscard]] virtual result<routing_config>
   decodeConfig(const config_document &Document) const = 0;
 
   /// Lists the backend servers. Entries that can't be decoded are skipped.
-  virtual asio::awaitable<result<std::vector<backend_registration>>>
-  readBackends() = 0;
+  virtual asio::awaitable<result<backend_listing>> readBackends() = 0;
 
   /// Lists the hosts of this fleet. With \p AllowStale the list may be seconds
   /// old, which costs the platform less.
--- a/src/libs/entry_host/slot_wire.cpp
+++ b/src/libs/entry_host/slot_wire.cpp
@@ -166,6 +166,7 @@
     Value->draining = Backend.Draining;
     Value->warm_up_ms = toWireMs(Backend.WarmUpRemaining);
     Value->born_ms = Backend.StartedAtUnixMs;
+    Value->sequence = Backend.Sequence;
     Values.push_back(std::move(Value));
   }
   return Values;
@@ -180,7 +181,8 @@
       continue;
     Backends.push_back({Value->name, Value->service, *Address, Value->zone,
                         std::max(1U, Value->slots), Value->draining,
-                        milliseconds(Value->warm_up_ms), Value->born_ms});
+                        milliseconds(Value->warm_up_ms), Value->born_ms,
+                        Value->sequence});
   }
   return Backends;
 }
--- a/src/libs/routing/routing_config.h
+++ b/src/libs/routing/routing_config.h
@@ -64,8 +64,6 @@
 struct routing_config {
   /// Set by the operator; increases.
   std::uint64_t Version = 0;
-  /// Set by the platform; increases with each configuration that it accepts.
-  std::uint64_t Revision = 0;
   std::vector<route_rule> Routes;
   std::vector<service_config> Services;
   caller_bounds Bounds;
--- a/tests/auto/discovery/tst_backend_directory.cpp
+++ b/tests/auto/discovery/tst_backend_directory.cpp
@@ -25,8 +25,9 @@
 
 TEST_CASE("a missing entry is removed at once if there was no outage") {
   backend_directory Directory;
-  CHECK(mergePlatformList(Directory, {makeEntry("x"), makeEntry("y")}, Start));
-  CHECK(mergePlatformList(Directory, {makeEntry("y")},
+  CHECK(
+      mergePlatformList(Directory, {makeEntry("x"), makeEntry("y")}, 1, Start));
+  CHECK(mergePlatformList(Directory, {makeEntry("y")}, 1,
                           Start + milliseconds(400)));
   CHECK_FALSE(containsEntry(Directory, "x"));
   CHECK(Directory.ConfirmedAt == Start + milliseconds(400));
@@ -34,15 +35,16 @@
 
 TEST_CASE("entries missing after an outage are removed after a grace period") {
   backend_directory Directory;
-  mergePlatformList(Directory, {makeEntry("x"), makeEntry("y")}, Start);
+  mergePlatformList(Directory, {makeEntry("x"), makeEntry("y")}, 1, Start);
   const time_point Recovery = Start + seconds(10);
-  mergePlatformList(Directory, {makeEntry("y")}, Recovery);
+  mergePlatformList(Directory, {makeEntry("y")}, 1, Recovery);
   CHECK(containsEntry(Directory, "x"));
   // While a removal is pending, the list is as old as before the outage.
   CHECK(Directory.ConfirmedAt == Start);
-  mergePlatformList(Directory, {makeEntry("y")}, Recovery + milliseconds(1900));
+  mergePlatformList(Directory, {makeEntry("y")}, 1,
+                    Recovery + milliseconds(1900));
   CHECK(containsEntry(Directory, "x"));
-  CHECK(mergePlatformList(Directory, {makeEntry("y")},
+  CHECK(mergePlatformList(Directory, {makeEntry("y")}, 1,
                           Recovery + milliseconds(2000)));
   CHECK_FALSE(containsEntry(Directory, "x"));
   CHECK(Directory.ConfirmedAt == Recovery + milliseconds(2000));
@@ -50,18 +52,19 @@
 
 TEST_CASE("an entry listed again after an outage confirms the list") {
   backend_directory Directory;
-  mergePlatformList(Directory, {makeEntry("x")}, Start);
-  mergePlatformList(Directory, {}, Start + seconds(10));
-  mergePlatformList(Directory, {makeEntry("x")}, Start + seconds(11));
+  mergePlatformList(Directory, {makeEntry("x")}, 1, Start);
+  mergePlatformList(Directory, {}, 1, Start + seconds(10));
+  mergePlatformList(Directory, {makeEntry("x")}, 1, Start + seconds(11));
   CHECK(containsEntry(Directory, "x"));
   CHECK(Directory.ConfirmedAt == Start + seconds(11));
 }
 
 TEST_CASE("a confirmed list of another host ends the grace period") {
   backend_directory Directory;
-  mergePlatformList(Directory, {makeEntry("x"), makeEntry("y")}, Start);
-  mergePlatformList(Directory, {makeEntry("y")}, Start + seconds(10));
-  CHECK(replaceWithPeerList(Directory, {makeEntry("y")}, Start + seconds(10)));
+  mergePlatformList(Directory, {makeEntry("x"), makeEntry("y")}, 1, Start);
+  mergePlatformList(Directory, {makeEntry("y")}, 1, Start + seconds(10));
+  CHECK(
+      replaceWithPeerList(Directory, {makeEntry("y")}, 1, Start + seconds(10)));
   CHECK_FALSE(containsEntry(Directory, "x"));
 }
 
@@ -69,18 +72,81 @@
   backend_directory Directory;
   backend_registration Warming = makeEntry("x");
   Warming.WarmUpRemaining = milliseconds(900);
-  CHECK(mergePlatformList(Directory, {Warming}, Start));
+  CHECK(mergePlatformList(Directory, {Warming}, 1, Start));
   Warming.WarmUpRemaining = milliseconds(400);
   CHECK_FALSE(
-      mergePlatformList(Directory, {Warming}, Start + milliseconds(400)));
-  CHECK(mergePlatformList(Directory, {makeEntry("x")},
+      mergePlatformList(Directory, {Warming}, 1, Start + milliseconds(400)));
+  CHECK(mergePlatformList(Directory, {makeEntry("x")}, 1,
                           Start + milliseconds(800)));
 }
 
 TEST_CASE("the same name with another start time is a change") {
   backend_directory Directory;
-  mergePlatformList(Directory, {makeEntry("x")}, Start);
+  mergePlatformList(Directory, {makeEntry("x")}, 1, Start);
   backend_registration Restarted = makeEntry("x");
   Restarted.StartedAtUnixMs = 2;
-  CHECK(mergePlatformList(Directory, {Restarted}, Start + milliseconds(400)));
+  CHECK(
+      mergePlatformList(Directory, {Restarted}, 1, Start + milliseconds(400)));
+}
+
+namespace {
+
+backend_registration makeReport(const std::string &Name, std::uint64_t Sequence,
+                                bool Draining = false) {
+  backend_registration Entry = makeEntry(Name);
+  Entry.Sequence = Sequence;
+  Entry.Draining = Draining;
+  return Entry;
+}
+
+} // namespace
+
+TEST_CASE("a restored store does not bring back a server that was removed") {
+  backend_directory Directory;
+  mergePlatformList(Directory, {makeReport("x", 7)}, 1, Start);
+  mergePlatformList(Directory, {}, 1, Start + milliseconds(400));
+  CHECK(mergePlatformList(Directory, {}, 2, Start + milliseconds(800)) ==
+        false);
+  mergePlatformList(Directory, {makeReport("x", 5)}, 2,
+                    Start + milliseconds(1200));
+  CHECK_FALSE(containsEntry(Directory, "x"));
+  // A later report shows that the server lives.
+  mergePlatformList(Directory, {makeReport("x", 8)}, 2,
+                    Start + milliseconds(1600));
+  CHECK(containsEntry(Directory, "x"));
+}
+
+TEST_CASE("within one epoch an entry that is listed again counts as it is") {
+  backend_directory Directory;
+  mergePlatformList(Directory, {makeReport("x", 7)}, 1, Start);
+  mergePlatformList(Directory, {}, 1, Start + milliseconds(400));
+  mergePlatformList(Directory, {makeReport("x", 7)}, 1,
+                    Start + milliseconds(800));
+  CHECK(containsEntry(Directory, "x"));
+}
+
+TEST_CASE("a restored store does not make a draining server ready") {
+  backend_directory Directory;
+  mergePlatformList(Directory, {makeReport("x", 7, true)}, 1, Start);
+  CHECK_FALSE(mergePlatformList(Directory, {makeReport("x", 5)}, 2,
+                                Start + milliseconds(400)));
+  CHECK(Directory.Backends.front().Draining);
+  // Another start of the server is another server.
+  backend_registration Restarted = makeReport("x", 1);
+  Restarted.StartedAtUnixMs = 2;
+  CHECK(
+      mergePlatformList(Directory, {Restarted}, 2, Start + milliseconds(800)));
+  CHECK_FALSE(Directory.Backends.front().Draining);
+}
+
+TEST_CASE("servers that a restored store lacks may register again") {
+  backend_directory Directory;
+  mergePlatformList(Directory, {makeReport("x", 7), makeReport("y", 1)}, 1,
+                    Start);
+  const time_point Restore = Start + milliseconds(400);
+  mergePlatformList(Directory, {makeReport("x", 7)}, 2, Restore);
+  CHECK(containsEntry(Directory, "y"));
+  mergePlatformList(Directory, {makeReport("x", 8)}, 2,
+                    Restore + milliseconds(2000));
+  CHECK_FALSE(containsEntry(Directory, "y"));
 }
--- a/tests/auto/entry_host/fleet_fixture.h
+++ b/tests/auto/entry_host/fleet_fixture.h
@@ -34,23 +34,22 @@
   asio::awaitable<result<config_document>> readConfig() override {
     if (Down)
       co_return fail(error_code::PlatformUnreachable, "down");
-    co_return config_document{Config.Revision, "held"};
+    co_return config_document{Position, "held"};
   }
 
   asio::awaitable<result<std::optional<config_document>>>
-  awaitConfig(std::uint64_t Revision, duration Wait) override {
+  awaitConfig(history_position Since, duration Wait) override {
     if (Down)
       co_return fail(error_code::PlatformUnreachable, "down");
     asio::steady_timer Timer(co_await asio::this_coro::executor);
     const time_point End = std::chrono::steady_clock::now() + Wait;
-    while (Config.Revision <= Revision &&
-           std::chrono::steady_clock::now() < End) {
+    while (Position <= Since && std::chrono::steady_clock::now() < End) {
       Timer.expires_after(milliseconds(5));
       co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
-    if (Config.Revision <= Revision)
+    if (Position <= Since)
       co_return std::optional<config_document>();
-    co_return config_document{Config.Revision, "held"};
+    co_return config_document{Position, "held"};
   }
 
   [[nodiscard]] result<routing_config>
@@ -58,11 +57,10 @@
     return Config;
   }
 
-  asio::awaitable<result<std::vector<backend_registration>>>
-  readBackends() override {
+  asio::awaitable<result<backend_listing>> readBackends() override {
     if (Down)
       co_return fail(error_code::PlatformUnreachable, "down");
-    co_return Backends;
+    co_return backend_listing{Backends, Position.Epoch};
   }
 
   asio::awaitable<result<std::vector<fleet_member>>>
@@ -85,6 +83,8 @@
   }
 
   bool Down = false;
+  /// The position of Config in the store's history.
+  history_position Position = {1, 1};
   routing_config Config;
   std::vector<backend_registration> Backends;
   std::vector<fleet_member> Members;
@@ -103,10 +103,10 @@
   }
 
   asio::awaitable<result<std::optional<config_document>>>
-  awaitConfig(std::uint64_t Revision, duration Wait) override {
+  awaitConfig(history_position Since, duration Wait) override {
     if (Disconnected)
       co_return fail(error_code::PlatformUnreachable, "cut");
-    co_return co_await Platform.awaitConfig(Revision, Wait);
+    co_return co_await Platform.awaitConfig(Since, Wait);
   }
 
   [[nodiscard]] result<routing_config>
@@ -114,8 +114,7 @@
     return Platform.decodeConfig(Document);
   }
 
-  asio::awaitable<result<std::vector<backend_registration>>>
-  readBackends() override {
+  asio::awaitable<result<backend_listing>> readBackends() override {
     ++BackendReads;
     if (Disconnected)
       co_return fail(error_code::PlatformUnreachable, "cut");
@@ -205,7 +204,6 @@
     }();
     REQUIRE(Quiet);
     Platform.Config.Version = 1;
-    Platform.Config.Revision = 1;
     addRoute("read", "/read/", true);
     addRoute("book", "/book/", false);
     for (int Number = 0; Number < Hosts; ++Number)
--- a/tests/auto/entry_host/tst_fleet.cpp
+++ b/tests/auto/entry_host/tst_fleet.cpp
@@ -82,7 +82,7 @@
     co_await pauseFor(seconds(2));
     Fleet.addRoute("new", "/new/", true);
     Fleet.Platform.Config.Version = 5;
-    Fleet.Platform.Config.Revision = 5;
+    Fleet.Platform.Position.Revision = 5;
     co_await pauseFor(seconds(2));
     for (int Number = 0; Number < 2; ++Number) {
       const std::string Response = co_await Fleet.sendAndReceive(
@@ -90,7 +90,7 @@
       CHECK(Fleet.statusOf(Response) == 200);
     }
     Fleet.Platform.Config.Version = 3;
-    Fleet.Platform.Config.Revision = 6;
+    Fleet.Platform.Position.Revision = 6;
     Fleet.Platform.Config.Routes.pop_back();
     co_await pauseFor(seconds(2));
     const std::string Response =
--- a/tests/auto/platform/tst_object_store.cpp
+++ b/tests/auto/platform/tst_object_store.cpp
@@ -70,8 +70,8 @@
   Fixture.run([&]() -> asio::awaitable<void> {
     const auto Listed = co_await Fixture.Store.readBackends();
     REQUIRE(Listed);
-    CHECK(Listed->size() == 11);
-    CHECK(Listed->back().Draining);
+    CHECK(Listed->Servers.size() == 11);
+    CHECK(Listed->Servers.back().Draining);
   });
 }
 
@@ -83,12 +83,12 @@
     const auto First = co_await Fixture.Store.readConfig();
     REQUIRE(First);
     const auto Unchanged =
-        co_await Fixture.Store.awaitConfig(First->Revision, milliseconds(10));
+        co_await Fixture.Store.awaitConfig(First->Position, milliseconds(10));
     REQUIRE(Unchanged);
     CHECK_FALSE(Unchanged->has_value());
     Fixture.FakeStore.put("config", "main", configEntry(9));
     const auto Second =
-        co_await Fixture.Store.awaitConfig(First->Revision, milliseconds(500));
+        co_await Fixture.Store.awaitConfig(First->Position, milliseconds(500));
     REQUIRE(Second);
     REQUIRE(Second->has_value());
     CHECK(Fixture.Store.decodeConfig(**Second)->Version == 9);
@@ -96,9 +96,9 @@
     // fails, the next one reads the configuration in full.
     Fixture.FakeStore.put("config", "main", configEntry(12));
     Fixture.FakeStore.Faults.HistoryExpired = true;
-    CHECK_FALSE(co_await Fixture.Store.awaitConfig((*Second)->Revision,
+    CHECK_FALSE(co_await Fixture.Store.awaitConfig((*Second)->Position,
                                                    milliseconds(10)));
-    const auto Third = co_await Fixture.Store.awaitConfig((*Second)->Revision,
+    const auto Third = co_await Fixture.Store.awaitConfig((*Second)->Position,
                                                           milliseconds(10));
     REQUIRE(Third);
     REQUIRE(Third->has_value());
@@ -148,7 +148,7 @@
     Fixture.FakeStore.put("servers", "s" + std::to_string(Number),
                           backendEntry());
   Fixture.run([&]() -> asio::awaitable<void> {
-    CHECK((co_await Fixture.Store.readBackends())->size() == 20);
+    CHECK((co_await Fixture.Store.readBackends())->Servers.size() == 20);
     const int AfterList = Fixture.FakeStore.Calls;
     Fixture.FakeStore.put("servers", "s3", backendEntry("draining"));
     Fixture.FakeStore.put("servers", "new", backendEntry());
@@ -158,10 +158,10 @@
     REQUIRE(Changed.has_value());
     CHECK(Fixture.FakeStore.Calls == AfterList + 1);
     // Of 20 objects, one no longer decodes and one was removed; one was added.
-    CHECK(Changed->size() == 19);
+    CHECK(Changed->Servers.size() == 19);
     const auto Drained =
-        std::ranges::find(*Changed, "s3", &backend_registration::Name);
-    REQUIRE(Drained != Changed->end());
+        std::ranges::find(Changed->Servers, "s3", &backend_registration::Name);
+    REQUIRE(Drained != Changed->Servers.end());
     CHECK(Drained->Draining);
   });
 }
@@ -173,16 +173,16 @@
     Fixture.FakeStore.put("servers", "s" + std::to_string(Number),
                           backendEntry());
   Fixture.run([&]() -> asio::awaitable<void> {
-    CHECK((co_await Fixture.Store.readBackends())->size() == 8);
+    CHECK((co_await Fixture.Store.readBackends())->Servers.size() == 8);
     Fixture.FakeStore.Faults.WatchesMissEvents = true;
     Fixture.FakeStore.put("servers", "new", backendEntry());
-    CHECK((co_await Fixture.Store.readBackends())->size() == 8);
+    CHECK((co_await Fixture.Store.readBackends())->Servers.size() == 8);
     Fixture.Clock.advance(seconds(2));
-    CHECK((co_await Fixture.Store.readBackends())->size() == 9);
+    CHECK((co_await Fixture.Store.readBackends())->Servers.size() == 9);
     // Expired watch history makes the same call fall back to a full list.
     Fixture.FakeStore.Faults = {};
     Fixture.FakeStore.Faults.HistoryExpired = true;
     Fixture.FakeStore.put("servers", "newer", backendEntry());
-    CHECK((co_await Fixture.Store.readBackends())->size() == 10);
+    CHECK((co_await Fixture.Store.readBackends())->Servers.size() == 10);
   });
 }
--- a/tests/auto/platform/tst_store_restore.cpp
+++ b/tests/auto/platform/tst_store_restore.cpp
@@ -178,7 +178,7 @@
         bool Found = false;
         for (int Call = 0; Call < 3 && !Found; ++Call) {
           const auto Next =
-              co_await Adapter.awaitConfig(Before->Revision, milliseconds(30));
+              co_await Adapter.awaitConfig(Before->Position, milliseconds(30));
           Found = Next && *Next && Adapter.decodeConfig(**Next)->Version == 6;
         }
         CHECK(Found);
@@ -188,3 +188,27 @@
       asio::detached);
   Context.run();
 }
+
+TEST_CASE("hosts whose registrations are lost in a restore register again and "
+          "stay one fleet") {
+  store_fleet Fleet(3);
+  const store_copy BeforeAll = Fleet.Store.copy();
+  Fleet.run([&]() -> asio::awaitable<void> {
+    Fleet.Store.restore(BeforeAll);
+    const time_point End = Fleet.Clock.now() + seconds(6);
+    bool AllKnown = true;
+    bool AllRegistered = false;
+    while (!AllRegistered && Fleet.Clock.now() < End) {
+      co_await pauseFor(milliseconds(20));
+      AllRegistered = true;
+      for (std::size_t Number = 0; Number < 3; ++Number) {
+        AllKnown = AllKnown && Fleet.viewNumber(Number, "members") == 3;
+        AllRegistered = AllRegistered &&
+                        Fleet.Store.hasObject("coriandertray-hosts",
+                                              "host-" + std::to_string(Number));
+      }
+    }
+    CHECK(AllKnown);
+    CHECK(AllRegistered);
+  });
+}
