HTTP client: End calls whose response has no end

Cause: a backend server may send bytes without end, in a head or in a body. Endless interim responses ended a call as answered with status 100, which a host would have forwarded. And the limit of 64 MiB for each body let a few endless bodies at once exceed the 160 MB of the smallest hosts.

Change: the read buffer of a connection has a limit, a call whose last response is an interim one is malformed, and the bodies that one client receives share a limit (TotalBodyBytes). An entry host takes 16 MiB for a body, as INTERFACES.md states, and 32 MiB for all.

--- a/src/libs/entry_host/entry_host.cpp
+++ b/src/libs/entry_host/entry_host.cpp
@@ -26,11 +26,15 @@
 constexpr duration BalancerRemovalDelay = milliseconds(2800);
 constexpr duration LeavePollInterval = milliseconds(100);
 constexpr duration ExitMargin = milliseconds(600);
-constexpr std::uint64_t MaxResponseBodyBytes = 64U << 20U;
+// A host has 160 MB of memory or more. While a body grows, its string may take
+// up to three times its size.
+constexpr std::uint64_t MaxResponseBodyBytes = 16U << 20U;
+constexpr std::uint64_t MaxReceivedBodyBytes = 32U << 20U;
 
 http_client_limits clientLimits(const header_names &Names) {
   http_client_limits Limits;
   Limits.BodyBytes = MaxResponseBodyBytes;
+  Limits.TotalBodyBytes = MaxReceivedBodyBytes;
   Limits.IdleConnectionsPerAddress = 2;
   Limits.RequestIdHeader = Names.RequestId;
   Limits.AcceptResponsesWithoutLength = true;
--- a/src/libs/http/http_client.cpp
+++ b/src/libs/http/http_client.cpp
@@ -23,7 +23,8 @@
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 
 struct connection {
-  explicit connection(asio::io_context &Context) : Stream(Context) {}
+  connection(asio::io_context &Context, const http_client_limits &Limits)
+      : Stream(Context), Buffer(Limits.HeaderBytes + ReadBufferBytes) {}
   beast::tcp_stream Stream;
   beast::flat_buffer Buffer;
   time_point IdleSince;
@@ -73,7 +74,8 @@
   if (Failure == beast::error::timeout)
     return call_status::TimedOut;
   if (Failure == http::error::body_limit ||
-      Failure == http::error::header_limit)
+      Failure == http::error::header_limit ||
+      Failure == http::error::buffer_overflow)
     return call_status::TooLarge;
   if (Failure == http::error::partial_message)
     return call_status::Truncated;
@@ -175,10 +177,53 @@
     Close();
 }
 
+// The share of one response in the limit for all bodies that are being
+// received.
+class body_reservation {
+public:
+  body_reservation(std::uint64_t &Total, std::uint64_t Limit)
+      : Total(Total), Limit(Limit) {}
+  body_reservation(const body_reservation &) = delete;
+  body_reservation &operator=(const body_reservation &) = delete;
+  ~body_reservation() { Total -= Bytes; }
+
+  // Changes the share to \p Next bytes, if the limit allows it.
+  [[nodiscard]] bool resize(std::uint64_t Next) {
+    if (Total - Bytes + Next > Limit)
+      return false;
+    Total += Next - Bytes;
+    Bytes = Next;
+    return true;
+  }
+
+private:
+  std::uint64_t &Total;
+  std::uint64_t Limit;
+  std::uint64_t Bytes = 0;
+};
+
+using response_parser = http::response_parser<http::string_body>;
+
+asio::awaitable<beast::error_code> readResponse(connection &Connection,
+                                                response_parser &Parser,
+                                                body_reservation &Reservation) {
+  Parser.eager(true);
+  while (!Parser.is_done()) {
+    auto [Failure, Count] = co_await http::async_read_some(
+        Connection.Stream, Connection.Buffer, Parser, UseTuple);
+    if (Failure)
+      co_return Failure;
+    if (!Reservation.resize(Parser.get().body().size()))
+      co_return http::error::body_limit;
+  }
+  co_return beast::error_code();
+}
+
 struct http_client::shared_state {
   asio::io_context &Context;
   http_client_limits Limits;
   std::map<socket_address, std::deque<connection_pointer>> Idle;
+  std::uint64_t ReceivedBodyBytes = 0;
 
   connection_pointer takeIdle(const socket_address &Address,
                               duration MaxIdleAge, time_point Now) {
@@ -207,8 +252,8 @@
 };
 
 http_client::http_client(asio::io_context &Context, http_client_limits Limits)
-    : State(std::make_shared<shared_state>(shared_state{Context, Limits, {}})) {
-}
+    : State(std::make_shared<shared_state>(
+          shared_state{Context, Limits, {}, 0})) {}
 
 http_client::~http_client() = default;
 
@@ -224,7 +269,7 @@
       Client->takeIdle(Address, Options.MaxIdleAge, Start);
   const bool IsNew = !Connection;
   if (IsNew)
-    Connection = std::make_shared<connection>(Client->Context);
+    Connection = std::make_shared<connection>(Client->Context, Client->Limits);
   const auto WasCancelled = [&Canceller] {
     return Canceller && Canceller->isCancelled();
   };
@@ -265,13 +310,15 @@
   bool KeepAlive = false;
   // Limits the interim (1xx) and mismatched responses that are skipped.
   constexpr int MaxResponses = 8;
+  body_reservation Reservation(Client->ReceivedBodyBytes,
+                               Client->Limits.TotalBodyBytes);
   for (int Count = 0; Count < MaxResponses; ++Count) {
-    http::response_parser<http::string_body> Parser;
+    response_parser Parser;
     Parser.body_limit(Client->Limits.BodyBytes);
     Parser.header_limit(Client->Limits.HeaderBytes);
     Parser.skip(IsHead);
-    auto [ReadFailure, ReadBytes] = co_await http::async_read(
-        Connection->Stream, Connection->Buffer, Parser, UseTuple);
+    const beast::error_code ReadFailure =
+        co_await readResponse(*Connection, Parser, Reservation);
     if (ReadFailure) {
       boost::system::error_code Ignored;
       Connection->Stream.socket().close(Ignored);
@@ -302,6 +349,8 @@
     if (!LengthKnown || !KeepAlive)
       break;
   }
+  if (isInterim(Result.Response))
+    Result.Status = call_status::Malformed;
   const bool IsComplete =
       LengthKnown || Client->Limits.AcceptResponsesWithoutLength;
   if (Result.Status == call_status::Answered && !IsComplete)
@@ -327,6 +376,10 @@
   State->Idle.erase(Address);
 }
 
+std::uint64_t http_client::receivedBodyBytes() const {
+  return State->ReceivedBodyBytes;
+}
+
 std::size_t http_client::idleConnectionCount() const {
   std::size_t Count = 0;
   for (const auto &[Address, Pool] : State->Idle)
--- a/src/libs/http/http_client.h
+++ b/src/libs/http/http_client.h
@@ -29,7 +29,7 @@
   Truncated,     ///< The response ended early or did not state its length.
   TimedOut,      ///< No complete response before the timeout.
   Malformed,     ///< Not a valid HTTP response, or for another request.
-  TooLarge,      ///< The response exceeded the size limit.
+  TooLarge,      ///< The response exceeded a size limit.
   Cancelled,     ///< Ended by call_canceller::cancel().
 };
 
@@ -71,6 +71,8 @@
 
 struct http_client_limits {
   std::uint64_t BodyBytes = 16U << 20U;
+  /// The limit for the bodies of all responses that are being received.
+  std::uint64_t TotalBodyBytes = 64U << 20U;
   std::uint32_t HeaderBytes = 32U << 10U;
   /// The maximum number of idle connections kept for each address.
   std::size_t IdleConnectionsPerAddress = 8;
@@ -103,6 +105,9 @@
 
   [[nodiscard]] std::size_t idleConnectionCount() const;
 
+  /// \returns the bytes of all bodies that are being received.
+  [[nodiscard]] std::uint64_t receivedBodyBytes() const;
+
 private:
   struct shared_state;
   std::shared_ptr<shared_state> State;
--- a/src/libs/http/http_message.h
+++ b/src/libs/http/http_message.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <compare>
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -11,6 +12,10 @@
 
 namespace coriandertray {
 
+/// The size of a read buffer, in addition to the limit of the header section.
+/// The parser limits neither chunk headers nor trailers, so the buffer has to.
+inline constexpr std::size_t ReadBufferBytes = 64U << 10U;
+
 struct http_header {
   std::string Name;
   std::string Value;
