HTTP servers: Limit the buffer for chunk headers of requests

A request whose chunk extension has no end was buffered without limit, by the server for callers and by the one for operators.

Change: the read buffers have a limit; such a request is answered 400 and its connection closed.

--- a/src/libs/entry_host/caller_server.cpp
+++ b/src/libs/entry_host/caller_server.cpp
@@ -197,6 +197,7 @@
   template <typename State> asio::awaitable<void> readRequest(State Server) {
     Receiving = true;
     http::request_parser<http::string_body> Parser;
+    Buffer.max_size(Server->Bounds.MaxHeaderBytes + ReadBufferBytes);
     Parser.header_limit(Server->Bounds.MaxHeaderBytes);
     Parser.body_limit(Server->Bounds.MaxBodyBytes);
     Stream.expires_after(Server->Bounds.HeaderTimeout);
--- a/src/libs/http/http_server.cpp
+++ b/src/libs/http/http_server.cpp
@@ -254,7 +254,7 @@
   Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
   beast::tcp_stream Stream(std::move(Socket));
   Server->Streams.insert(&Stream);
-  beast::flat_buffer Buffer;
+  beast::flat_buffer Buffer(Server->Limits.HeaderBytes + ReadBufferBytes);
   if (Server->Limits.AcceptDelay > milliseconds(0)) {
     asio::steady_timer Delay(Server->Context, Server->Limits.AcceptDelay);
     co_await Delay.async_wait(UseTuple);
--- a/tests/auto/entry_host/tst_request_proxy.cpp
+++ b/tests/auto/entry_host/tst_request_proxy.cpp
@@ -281,6 +281,21 @@
   });
 }
 
+TEST_CASE("a request whose chunk header has no end is refused") {
+  fleet_fixture Fleet;
+  Fleet.addBackend([](http_request Request) -> asio::awaitable<http_response> {
+    co_return signedResponse(Request);
+  });
+  Fleet.run([&]() -> asio::awaitable<void> {
+    const std::string Answer = co_await Fleet.sendAndReceive(
+        "POST /book/ HTTP/1.1\r\nHost: a.example\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n4;" +
+        std::string(1U << 20U, 'x'));
+    CHECK(Fleet.statusOf(Answer) == 400);
+  });
+  CHECK(Fleet.Backends[0]->Requests.empty());
+}
+
 TEST_CASE("a chunked body arrives complete at the server") {
   fleet_fixture Fleet;
   Fleet.addBackend(respondSuccessfully);
