--- a/src/libs/allocation/slot_messages.cpp
+++ b/src/libs/allocation/slot_messages.cpp
@@ -2,6 +2,13 @@
 
 namespace coriandertray {
 
+slot_answer makeUnknownPoolRefusal(const slot_key &Key) {
+  slot_answer Answer;
+  Answer.Key = Key;
+  Answer.Reason = PoolUnknownReason;
+  return Answer;
+}
+
 std::string_view slotOutcomeName(slot_outcome Outcome) {
   switch (Outcome) {
   case slot_outcome::Succeeded:
--- a/src/libs/allocation/slot_messages.h
+++ b/src/libs/allocation/slot_messages.h
@@ -74,6 +74,13 @@
   bool operator==(const slot_answer &) const = default;
 };
 
+/// The reason of a refusal by a host that doesn't know the pool, because it has
+/// another list of backend servers than the requesting host.
+inline constexpr std::string_view PoolUnknownReason = "pool-unknown";
+
+/// \returns a refusal of the request \p Key with PoolUnknownReason.
+[[nodiscard]] slot_answer makeUnknownPoolRefusal(const slot_key &Key);
+
 /// How a lease ended.
 enum class slot_outcome : std::uint8_t {
   Succeeded,
