--- a/src/libs/allocation/slot_allocator.cpp
+++ b/src/libs/allocation/slot_allocator.cpp
@@ -124,6 +124,7 @@
   const duration Expected = expectedDuration(State, Request);
   const double MeanSeconds = toSeconds(Expected) * MeanOverMedian;
   double Slots = 0;
+  // Bounds the estimate when all servers look unhealthy: one of them will do.
   double MinSlots = 1;
   std::ptrdiff_t Free = 0;
   for (const auto &[Name, Backend] : State.Backends) {
