--- a/tests/auto/platform/fake_object_store.h
+++ b/tests/auto/platform/fake_object_store.h
@@ -15,6 +15,7 @@
 #include <deque>
 #include <map>
 #include <string>
+#include <string_view>
 
 namespace coriandertray::testing {
 
@@ -32,6 +33,26 @@
   bool WatchesMissEvents = false;
 };
 
+/// \returns the specification of a backend server's entry.
+inline json::value backendEntry(std::string_view State = "ready",
+                                std::uint64_t Sequence = 1) {
+  return json::object{{"service", "one"}, {"address", "10.0.0.1:80"},
+                      {"zone", "a"},      {"slots", 3},
+                      {"state", State},   {"warmup_remaining", "0ms"},
+                      {"born", 1000},     {"sequence", Sequence}};
+}
+
+/// \returns the specification of a configuration without routes.
+inline json::value configEntry(std::uint64_t Version) {
+  return json::object{{"version", Version},
+                      {"services", json::array{}},
+                      {"limits", json::object{{"max_header_bytes", 1000},
+                                              {"max_body_bytes", 1000},
+                                              {"header_timeout", "1s"},
+                                              {"idle_timeout", "1s"}}},
+                      {"virtual_hosts", json::array{}}};
+}
+
 /// The stored objects and their revision at one moment.
 struct store_copy {
   std::map<std::string, std::map<std::string, json::object>> Objects;
--- a/tests/auto/platform/tst_object_store.cpp
+++ b/tests/auto/platform/tst_object_store.cpp
@@ -40,23 +40,6 @@
   platform::object_store Store;
 };
 
-json::value backendEntry(std::string_view State = "ready") {
-  return json::object{{"service", "one"}, {"address", "10.0.0.1:80"},
-                      {"zone", "a"},      {"slots", 3},
-                      {"state", State},   {"warmup_remaining", "0ms"},
-                      {"sequence", 1}};
-}
-
-json::value configEntry(std::uint64_t Version) {
-  return json::object{{"version", Version},
-                      {"services", json::array{}},
-                      {"limits", json::object{{"max_header_bytes", 1000},
-                                              {"max_body_bytes", 1000},
-                                              {"header_timeout", "1s"},
-                                              {"idle_timeout", "1s"}}},
-                      {"virtual_hosts", json::array{}}};
-}
-
 } // namespace
 
 TEST_CASE("lists span all pages, and invalid entries are left out") {
--- a/tests/auto/platform/tst_store_restore.cpp
+++ b/tests/auto/platform/tst_store_restore.cpp
@@ -24,24 +24,6 @@
   co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
-json::value backendEntry(std::uint64_t Sequence,
-                         std::string_view State = "ready") {
-  return json::object{{"service", "one"}, {"address", "10.0.0.1:80"},
-                      {"zone", "a"},      {"slots", 3},
-                      {"state", State},   {"warmup_remaining", "0ms"},
-                      {"born", 1000},     {"sequence", Sequence}};
-}
-
-json::value configEntry(std::uint64_t Version) {
-  return json::object{{"version", Version},
-                      {"services", json::array{}},
-                      {"limits", json::object{{"max_header_bytes", 1000},
-                                              {"max_body_bytes", 1000},
-                                              {"header_timeout", "1s"},
-                                              {"idle_timeout", "1s"}}},
-                      {"virtual_hosts", json::array{}}};
-}
-
 /// Entry hosts that share one fake store, each with a connection of its own.
 struct store_fleet {
   explicit store_fleet(int HostCount) : Store(Context) {
@@ -52,7 +34,7 @@
     REQUIRE(Quiet);
     REQUIRE(Store.listen(StoreAddress).has_value());
     Store.put("config", "main", configEntry(1));
-    Store.put("servers", "server-0", backendEntry(1));
+    Store.put("servers", "server-0", backendEntry());
     for (int Number = 0; Number < HostCount; ++Number)
       addHost(Number);
   }
@@ -174,7 +156,7 @@
         Store.put("config", "main", configEntry(6));
         // The revisions go beyond the one that the watch continues from.
         for (int Count = 0; Count < 9; ++Count)
-          Store.put("servers", "server-0", backendEntry(1));
+          Store.put("servers", "server-0", backendEntry());
         bool Found = false;
         for (int Call = 0; Call < 3 && !Found; ++Call) {
           const auto Next =
