Allocation: Keep to what backend servers state about themselves

Cause: a response could tell the fleet only a rate limit. That a server is shutting down, and the Retry-After of its 503, were forwarded and otherwise ignored: a rejection became a pause of 60 to 300 ms for all hosts, and a leaving server got requests until the platform's list said so.

Change: backend_report holds the three statements of a response. The host that got it keeps to them itself (backend_reports), so that neither a change of allocator, nor a platform that is away, nor a list that still says ready matters; a grant at such a server is handed back unsent and another one requested. The statements travel with the release of the slot to the allocator, and with the first request to an allocator that takes over. They hold for one start of a server: grants now carry the start time. A server that holds off three hosts at a time rests from all. A request that no server will take is refused at once, with the time at which one does as its Retry-After; one that waits is refused when that becomes known.

Ruled out: listing the excluded servers in every request. It costs bytes on each message and tells the other hosts nothing.

--- a/src/libs/allocation/backend_record.cpp
+++ b/src/libs/allocation/backend_record.cpp
@@ -9,6 +9,9 @@
 // Multiplied by the number of consecutive rejections.
 constexpr duration RejectionBackoffStep = milliseconds(60);
 constexpr std::uint32_t MaxConsecutiveRejections = 5;
+// A server that holds off this many hosts at a time is short of capacity for
+// all of them.
+constexpr std::size_t OverloadedMinHolds = 3;
 
 // Returns a newly joined server to waiting for its first request if that
 // request did not reach it.
@@ -23,7 +26,8 @@
 } // namespace
 
 bool isServing(const backend_record &Backend) {
-  return !Backend.Registration.Draining && !Backend.Misdirected;
+  return !Backend.Registration.Draining && !Backend.Leaving &&
+         !Backend.Misdirected;
 }
 
 std::uint32_t freeSlots(const backend_record &Backend) {
@@ -39,6 +43,28 @@
   return Tokens < Free ? static_cast<std::uint32_t>(Tokens) : Free;
 }
 
+time_point heldUntil(const backend_record &Backend, const std::string &Host) {
+  const auto Found = std::ranges::find(Backend.Holds, Host, &host_hold::Host);
+  return Found == Backend.Holds.end()
+             ? Backend.BackoffUntil
+             : std::max(Backend.BackoffUntil, Found->Until);
+}
+
+void holdOff(backend_record &Backend, const std::string &Host, time_point Until,
+             time_point Now) {
+  if (Until <= std::max(Now, heldUntil(Backend, Host)))
+    return;
+  std::erase_if(Backend.Holds, [&](const host_hold &Hold) {
+    return Hold.Host == Host || Hold.Until <= Now;
+  });
+  Backend.Holds.push_back({Host, Until});
+  if (Backend.Holds.size() < OverloadedMinHolds)
+    return;
+  const time_point FirstEnd =
+      std::ranges::min(Backend.Holds, {}, &host_hold::Until).Until;
+  Backend.BackoffUntil = std::max(Backend.BackoffUntil, FirstEnd);
+}
+
 double failureLogOdds(const backend_record &Backend,
                       const std::vector<latency_profile> &Profiles,
                       double PriorLogOdds, time_point Now) {
@@ -79,7 +105,8 @@
     Backend.ConsecutiveRejections =
         std::min(Backend.ConsecutiveRejections + 1, MaxConsecutiveRejections);
     Backend.BackoffUntil =
-        Now + RejectionBackoffStep * Backend.ConsecutiveRejections;
+        std::max(Backend.BackoffUntil,
+                 Now + RejectionBackoffStep * Backend.ConsecutiveRejections);
     addEvidence(Backend.FailureEstimate, evidence_weight::Full, PriorLogOdds,
                 Now);
     return;
--- a/src/libs/allocation/backend_record.h
+++ b/src/libs/allocation/backend_record.h
@@ -28,6 +28,13 @@
   bool operator==(const slot_lease &) const = default;
 };
 
+/// A backend server wants no requests from one host for a while.
+struct host_hold {
+  std::string Host;
+  time_point Until;
+  bool operator==(const host_hold &) const = default;
+};
+
 /// Plain state; not thread-safe.
 struct backend_record {
   backend_registration Registration;
@@ -42,6 +49,10 @@
   /// The server rejected a request as full and gets no requests until then.
   time_point BackoffUntil;
   std::uint32_t ConsecutiveRejections = 0;
+  /// The hosts that the server wants no requests from.
+  std::vector<host_hold> Holds;
+  /// Whether the server stated that it is shutting down.
+  bool Leaving = false;
   /// Whether the server joined while the allocator was running and has not
   /// received a request yet.
   bool AwaitsFirstRequest = false;
@@ -55,7 +66,7 @@
 };
 
 /// \returns whether \p Backend may receive requests at all: it is neither
-/// draining nor misdirected.
+/// draining, leaving nor misdirected.
 [[nodiscard]] bool isServing(const backend_record &Backend);
 
 /// \returns the number of slots that no request holds.
@@ -66,6 +77,15 @@
 [[nodiscard]] std::uint32_t startableRequests(const backend_record &Backend,
                                               time_point Now);
 
+/// \returns the earliest time at which \p Backend wants requests from \p Host.
+/// A server that holds off several hosts is taken to be overloaded for all.
+[[nodiscard]] time_point heldUntil(const backend_record &Backend,
+                                   const std::string &Host);
+
+/// Adds that \p Backend wants no requests from \p Host before \p Until.
+void holdOff(backend_record &Backend, const std::string &Host, time_point Until,
+             time_point Now);
+
 /// \returns the log odds that \p Backend loses a request. Requests in flight
 /// count as evidence when they take unusually long. \p PriorLogOdds are the log
 /// odds of a server without any evidence.
--- a/src/libs/allocation/placement.cpp
+++ b/src/libs/allocation/placement.cpp
@@ -71,16 +71,21 @@
 
 } // namespace
 
+bool mayServe(const backend_record &Backend, const slot_request &Request) {
+  return isServing(Backend) &&
+         !contains(Request.Tried, Backend.Registration.Name) &&
+         !contains(Request.Unreachable, Backend.Registration.Name);
+}
+
 bool canServe(const backend_record &Backend, const slot_request &Request,
               time_point Now) {
   // A server that is short of capacity should not get work twice.
   const bool HedgesAtLimitedServer =
       Request.RetryReason == retry_reason::Hedge &&
       Backend.RateLimiter.Limit.RequestsPerSecond;
-  return isServing(Backend) && !HedgesAtLimitedServer &&
-         Now >= Backend.BackoffUntil && startableRequests(Backend, Now) > 0 &&
-         !contains(Request.Tried, Backend.Registration.Name) &&
-         !contains(Request.Unreachable, Backend.Registration.Name);
+  return !HedgesAtLimitedServer &&
+         Now >= heldUntil(Backend, Request.Key.Host) &&
+         startableRequests(Backend, Now) > 0 && mayServe(Backend, Request);
 }
 
 coverage_state measureCoverage(const backend_records &Backends,
--- a/src/libs/allocation/placement.h
+++ b/src/libs/allocation/placement.h
@@ -75,10 +75,15 @@
   double Cost = 0;
 };
 
-/// \returns whether \p Backend can take \p Request now: it is serving, is not
-/// backing off, has a free slot, is within its rate limit (and has none if the
-/// request is a hedge), has not been tried for this request and is reachable
-/// from the requesting host.
+/// \returns whether \p Backend can take \p Request at some time: it is serving,
+/// has not been tried for this request and is reachable from the requesting
+/// host.
+[[nodiscard]] bool mayServe(const backend_record &Backend,
+                            const slot_request &Request);
+
+/// \returns whether \p Backend can take \p Request now: it may serve it, wants
+/// requests from the host, has a free slot and is within its rate limit (and
+/// has none if the request is a hedge).
 [[nodiscard]] bool canServe(const backend_record &Backend,
                             const slot_request &Request, time_point Now);
 
--- a/src/libs/allocation/rate_limit.h
+++ b/src/libs/allocation/rate_limit.h
@@ -3,8 +3,7 @@
 /// and the token bucket that keeps an allocator within it.
 ///
 /// Only allocators know how many requests all hosts send, so they observe the
-/// limits. A limit is reported by the host that got the response; hosts pass on
-/// the limits that they know to an allocator that takes over.
+/// limits. See backend_report.h for how they learn them.
 #pragma once
 
 #include "utils/clock.h"
@@ -15,7 +14,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
-#include <string>
 #include <string_view>
 
 namespace coriandertray {
@@ -32,15 +30,6 @@
 /// if \p Text is not a finite number of at least zero.
 [[nodiscard]] result<rate_limit> parseRateLimit(std::string_view Text);
 
-/// What the host that asks for a slot knows of a limit.
-struct known_rate_limit {
-  std::string Backend;
-  rate_limit Limit;
-  /// When the response that reported the limit arrived.
-  time_point ReportedAt;
-  bool operator==(const known_rate_limit &) const = default;
-};
-
 /// The token bucket of one backend server. Plain state; not thread-safe.
 struct rate_limiter {
   rate_limit Limit;
--- a/src/libs/allocation/slot_allocator.cpp
+++ b/src/libs/allocation/slot_allocator.cpp
@@ -29,6 +29,8 @@
 // this share of the time from there to its deadline.
 constexpr double AdmittedLatenessShare = 0.5;
 constexpr duration MinRetryAfter = milliseconds(100);
+// A server that replaces those which are leaving is usually listed by then.
+constexpr duration NoServerRetryAfter = milliseconds(500);
 
 std::size_t profileIndex(slot_allocator &State, const std::string &Work,
                          duration Target) {
@@ -99,6 +101,7 @@
   Answer.Verdict = slot_verdict::Granted;
   Answer.Backend = Backend.Registration.Name;
   Answer.Address = Backend.Registration.Address;
+  Answer.StartedAtUnixMs = Backend.Registration.StartedAtUnixMs;
   Answer.HedgeAfter = durationQuantile(State.Profiles[Profile], HedgeQuantile);
   return Answer;
 }
@@ -116,6 +119,28 @@
   return Request.RetryReason == retry_reason::Hedge;
 }
 
+time_point latestAdmittedEnd(const slot_request &Request) {
+  return Request.Target +
+         std::chrono::duration_cast<duration>(
+             (Request.Deadline - Request.Target) * AdmittedLatenessShare);
+}
+
+// \returns when the first server may take \p Request, whether or not it has a
+// free slot then; nothing if none of the servers will.
+std::optional<time_point> earliestStart(const slot_allocator &State,
+                                        const slot_request &Request,
+                                        time_point Now) {
+  std::optional<time_point> Earliest;
+  for (const auto &[Name, Backend] : State.Backends) {
+    if (!mayServe(Backend, Request))
+      continue;
+    const time_point Start =
+        std::max(Now, heldUntil(Backend, Request.Key.Host));
+    Earliest = std::min(Earliest.value_or(Start), Start);
+  }
+  return Earliest;
+}
+
 // Estimates how long \p Request waits for a slot behind the queued requests of
 // the same or a higher urgency.
 duration expectedWait(slot_allocator &State, const slot_request &Request,
@@ -130,7 +155,8 @@
   for (const auto &[Name, Backend] : State.Backends) {
     if (canServe(Backend, Request, Now))
       Free += startableRequests(Backend, Now);
-    if (!isServing(Backend))
+    if (!mayServe(Backend, Request) ||
+        heldUntil(Backend, Request.Key.Host) > latestAdmittedEnd(Request))
       continue;
     // A rate limit keeps some of the slots empty.
     const double UsableSlots =
@@ -153,12 +179,6 @@
                                               ServiceRounds);
 }
 
-time_point latestAdmittedEnd(const slot_request &Request) {
-  return Request.Target +
-         std::chrono::duration_cast<duration>(
-             (Request.Deadline - Request.Target) * AdmittedLatenessShare);
-}
-
 // Grants a hedge only at a server that is likely to respond.
 std::optional<slot_answer>
 tryHedge(slot_allocator &State, const slot_request &Request, time_point Now) {
@@ -222,17 +242,31 @@
   return Record;
 }
 
-void applyKnownLimits(slot_allocator &State,
-                      const std::vector<known_rate_limit> &Limits,
-                      time_point Now) {
-  for (const known_rate_limit &Known : Limits) {
+void applyKnownReports(slot_allocator &State, const slot_request &Request,
+                       time_point Now) {
+  for (const known_backend_report &Known : Request.KnownReports) {
     const auto Found = State.Backends.find(Known.Backend);
-    if (Found != State.Backends.end())
-      applyReport(Found->second.RateLimiter, Known.Limit, Known.ReportedAt,
-                  Now);
+    if (Found == State.Backends.end())
+      continue;
+    backend_record &Backend = Found->second;
+    if (Backend.Registration.StartedAtUnixMs != Known.StartedAtUnixMs)
+      continue;
+    applyReport(Backend.RateLimiter, Known.Limit, Known.LimitReportedAt, Now);
+    Backend.Leaving = Backend.Leaving || Known.Leaving;
+    holdOff(Backend, Request.Key.Host, Known.HeldUntil, Now);
   }
 }
 
+void applyBackendReport(backend_record &Backend, const slot_release &Release,
+                        time_point Now) {
+  if (!Release.Report)
+    return;
+  if (Release.Report->Limit)
+    applyReport(Backend.RateLimiter, *Release.Report->Limit, Now, Now);
+  Backend.Leaving = Backend.Leaving || Release.Report->Leaving;
+  holdOff(Backend, Release.Key.Host, Now + Release.Report->HoldOff, Now);
+}
+
 bool isSameInstance(const backend_registration &Left,
                     const backend_registration &Right) {
   return Left.StartedAtUnixMs == Right.StartedAtUnixMs &&
@@ -274,7 +308,7 @@
 slot_answer requestSlot(slot_allocator &State, const slot_request &Request,
                         time_point Now) {
   refreshBackends(State, Now);
-  applyKnownLimits(State, Request.KnownLimits, Now);
+  applyKnownReports(State, Request, Now);
   if (Request.RetryReason == retry_reason::None)
     recordRequest(State.RetryWindow, State.RetryLimits, Now);
   else if (!isHedge(Request) &&
@@ -285,7 +319,11 @@
       return *Granted;
   if (isHedge(Request))
     return enqueue(State, Request);
-  const duration Wait = expectedWait(State, Request, Now);
+  const std::optional<time_point> Earliest = earliestStart(State, Request, Now);
+  if (!Earliest && !State.Backends.empty())
+    return refusal(Request, std::string(NoServerReason), NoServerRetryAfter);
+  const duration Wait =
+      std::max(expectedWait(State, Request, Now), Earliest.value_or(Now) - Now);
   if (Now + Wait + expectedDuration(State, Request) >
       latestAdmittedEnd(Request))
     return refusal(Request, "overloaded", Wait);
@@ -303,8 +341,7 @@
     Backend.Leases.erase(Found);
     latency_profile &Profile = State.Profiles[Lease.Profile];
     recordOutcome(Backend, Lease, Release, Profile, State.PriorLogOdds, Now);
-    if (Release.ReportedLimit)
-      applyReport(Backend.RateLimiter, *Release.ReportedLimit, Now, Now);
+    applyBackendReport(Backend, Release, Now);
     if (Release.Outcome == slot_outcome::Succeeded)
       recordDuration(Profile, Release.Elapsed, Now);
     refreshFailureProbability(State, Backend, Now);
@@ -336,8 +373,15 @@
   std::ranges::stable_sort(State.Queue, precedes);
   std::vector<slot_request> Remaining;
   for (slot_request &Request : State.Queue) {
-    if (Now + expectedDuration(State, Request) > Request.Deadline)
-      Answers.push_back(refusal(Request, "deadline", {}));
+    const std::optional<time_point> Earliest =
+        earliestStart(State, Request, Now);
+    if (!Earliest && !State.Backends.empty() && !isHedge(Request))
+      Answers.push_back(
+          refusal(Request, std::string(NoServerReason), NoServerRetryAfter));
+    else if (Earliest.value_or(Now) + expectedDuration(State, Request) >
+             Request.Deadline)
+      Answers.push_back(
+          refusal(Request, "deadline", Earliest.value_or(Now) - Now));
     else if (std::optional<slot_answer> Answer = tryGrant(State, Request, Now))
       Answers.push_back(std::move(*Answer));
     else
--- a/src/libs/allocation/slot_messages.h
+++ b/src/libs/allocation/slot_messages.h
@@ -3,7 +3,7 @@
 /// their encoding.
 #pragma once
 
-#include "allocation/rate_limit.h"
+#include "allocation/backend_report.h"
 #include "utils/address.h"
 #include "utils/clock.h"
 
@@ -51,9 +51,9 @@
   std::vector<std::string> Tried;
   /// Backend servers that the requesting host cannot reach.
   std::vector<std::string> Unreachable;
-  /// Rate limits that the requesting host knows and the allocator may not,
-  /// because it has just taken over.
-  std::vector<known_rate_limit> KnownLimits;
+  /// What the requesting host knows of the backend servers and the allocator
+  /// may not, because it has just taken over.
+  std::vector<known_backend_report> KnownReports;
   bool operator==(const slot_request &) const = default;
 };
 
@@ -62,9 +62,10 @@
 struct slot_answer {
   slot_key Key;
   slot_verdict Verdict = slot_verdict::Refused;
-  /// The name and address of the backend server, if granted.
+  /// The name, address and start of the backend server, if granted.
   std::string Backend;
   socket_address Address;
+  std::uint64_t StartedAtUnixMs = 0;
   /// How long after it was sent an idempotent request should be hedged.
   duration HedgeAfter{0};
   /// When capacity is expected to be available, if refused.
@@ -78,6 +79,10 @@
 /// another list of backend servers than the requesting host.
 inline constexpr std::string_view PoolUnknownReason = "pool-unknown";
 
+/// The reason of a refusal because no backend server of the pool will take the
+/// request.
+inline constexpr std::string_view NoServerReason = "no-server";
+
 /// \returns a refusal of the request \p Key with PoolUnknownReason.
 [[nodiscard]] slot_answer makeUnknownPoolRefusal(const slot_key &Key);
 
@@ -100,9 +105,9 @@
   slot_key Key;
   slot_outcome Outcome = slot_outcome::NotUsed;
   duration Elapsed{0};
-  /// The limit according to the backend server's response; nothing if there was
-  /// no response.
-  std::optional<rate_limit> ReportedLimit;
+  /// What the backend server stated about itself; nothing if there was no
+  /// response.
+  std::optional<backend_report> Report;
   bool operator==(const slot_release &) const = default;
 };
 
--- a/src/libs/entry_host/attempt_classification.h
+++ b/src/libs/entry_host/attempt_classification.h
@@ -3,7 +3,7 @@
 /// for the allocator. Performs no I/O.
 #pragma once
 
-#include "allocation/rate_limit.h"
+#include "allocation/backend_report.h"
 #include "allocation/slot_messages.h"
 #include "entry_host/header_names.h"
 #include "http/http_client.h"
@@ -11,6 +11,7 @@
 #include <compare>
 #include <cstdint>
 #include <optional>
+#include <vector>
 
 namespace coriandertray {
 
@@ -46,10 +47,18 @@
 [[nodiscard]] attempt_classification
 classifyCallResult(const call_result &Result, const header_names &Names);
 
-/// \returns the rate limit according to the response in \p Result, or nothing
-/// if it holds no response of the backend server that the attempt was meant
-/// for. Fails with ValueOutOfRange if the limit is malformed.
-[[nodiscard]] result<std::optional<rate_limit>>
-reportedRateLimit(const call_result &Result, const header_names &Names);
+/// The report of a backend server as read from a response.
+struct report_reading {
+  /// Nothing if there is no response of the backend server that the attempt was
+  /// meant for.
+  std::optional<backend_report> Report;
+  /// A ValueOutOfRange error for each header with a malformed value.
+  std::vector<error> Faults;
+};
+
+/// \returns what the backend server states about itself in the response in
+/// \p Result. A malformed header counts as absent.
+[[nodiscard]] report_reading readBackendReport(const call_result &Result,
+                                               const header_names &Names);
 
 } // namespace coriandertray
--- a/src/libs/entry_host/header_names.h
+++ b/src/libs/entry_host/header_names.h
@@ -22,6 +22,8 @@
   /// Requests per second that the responding server accepts from all hosts
   /// together; absent if it has no limit.
   std::string RateLimit;
+  /// Present on the responses of a backend server that is shutting down.
+  std::string Leaving;
   bool operator==(const header_names &) const = default;
 };
 
--- a/src/libs/entry_host/request_proxy.cpp
+++ b/src/libs/entry_host/request_proxy.cpp
@@ -43,7 +43,7 @@
   time_point CallStartedAt;
   duration Elapsed{0};
   call_status CallStatus = call_status::Cancelled;
-  std::optional<rate_limit> ReportedLimit;
+  std::optional<backend_report> Report;
   http_response Response;
   std::shared_ptr<slot_wait> Wait = std::make_shared<slot_wait>();
   std::shared_ptr<call_canceller> Canceller =
@@ -282,24 +282,24 @@
     Attempt->State = Classification.State;
     Attempt->Outcome = Classification.Outcome;
     Attempt->CallStatus = Result.Status;
-    Attempt->ReportedLimit = readRateLimit(Result, Attempt->Slot.Backend);
+    Attempt->Report = readReport(Result, Attempt->Slot.Backend);
     Attempt->Response = std::move(Result.Response);
     if (Attempt->Outcome == slot_outcome::Unreachable)
       Environment.UnreachableUntil[Attempt->Slot.Backend] =
           now() + UnreachableHoldTime;
     Environment.Slots.release(Attempt->SlotId, Attempt->Outcome,
-                              Attempt->Elapsed, Attempt->ReportedLimit);
+                              Attempt->Elapsed, Attempt->Report);
+    if (Attempt->Report && Attempt->Report->Leaving)
+      Environment.Client.closeIdle(Attempt->Slot.Address);
   }
 
-  [[nodiscard]] std::optional<rate_limit>
-  readRateLimit(const call_result &Result, const std::string &Backend) const {
-    const result<std::optional<rate_limit>> Limit =
-        reportedRateLimit(Result, Environment.Names);
-    if (Limit)
-      return *Limit;
-    logEvent(log_level::Warning, "rate-limit-malformed",
-             {{"backend_server", Backend}, {"detail", Limit.error().Detail}});
-    return std::nullopt;
+  [[nodiscard]] std::optional<backend_report>
+  readReport(const call_result &Result, const std::string &Backend) const {
+    const report_reading Reading = readBackendReport(Result, Environment.Names);
+    for (const error &Fault : Reading.Faults)
+      logEvent(log_level::Warning, "backend-header-malformed",
+               {{"backend_server", Backend}, {"detail", Fault.Detail}});
+    return Reading.Report;
   }
 
   void abandonInProgress() {
@@ -369,7 +369,8 @@
 
   void logRequestEnd(const http_response &Response) {
     json::array AttemptEntries;
-    for (const attempt_pointer &Each : Attempts)
+    for (const attempt_pointer &Each : Attempts) {
+      const backend_report Report = Each->Report.value_or(backend_report());
       AttemptEntries.push_back(
           {{"backend_server", Each->Slot.Backend},
            {"allocator", Each->Allocator},
@@ -383,7 +384,10 @@
                 : 0.0},
            {"ran_ms", toMilliseconds(Each->Elapsed)},
            {"server_requests_per_s",
-            toJson(Each->ReportedLimit.value_or(rate_limit{}))}});
+            toJson(Report.Limit.value_or(rate_limit{}))},
+           {"server_leaving", Report.Leaving},
+           {"server_hold_off_ms", toMilliseconds(Report.HoldOff)}});
+    }
     const double Total = toMilliseconds(now() - Request.Start);
     logEvent(log_level::Info, "request-ended",
              {{"request_id", RequestId},
--- a/src/libs/entry_host/slot_broker.cpp
+++ b/src/libs/entry_host/slot_broker.cpp
@@ -27,9 +27,9 @@
 constexpr std::size_t MaxAllocatorsTried = 2;
 // Pools tried for one request: if one is overloaded, another may have room.
 constexpr int MaxPoolsTried = 2;
-// A rate limit that was reported longer ago is not passed on: the server may
-// have lifted it since.
-constexpr duration KnownLimitMaxAge = seconds(30);
+// Grants at servers that want no requests from this host that one request may
+// hand back. An allocator learns of the servers with the first one.
+constexpr int MaxGrantsReturned = 3;
 
 std::string allocatorDuty(const std::string &Pool) { return "slots/" + Pool; }
 
@@ -174,20 +174,17 @@
   return true;
 }
 
-std::vector<known_rate_limit>
-slot_broker::knownLimitsFor(const std::string &PoolName) const {
+std::vector<known_backend_report>
+slot_broker::knownReportsFor(const std::string &PoolName) const {
   const server_pool *Pool = findPool(PoolName);
-  const time_point Now = Clock.now();
-  std::vector<known_rate_limit> Limits;
   if (!Pool)
-    return Limits;
-  for (const backend_registration &Server : Pool->Servers) {
-    const auto Known = KnownLimits.find(Server.Name);
-    if (Known != KnownLimits.end() &&
-        Now - Known->second.ReportedAt < KnownLimitMaxAge)
-      Limits.push_back(Known->second);
-  }
-  return Limits;
+    return {};
+  return reportsOf(Reports, Pool->Servers, Clock.now());
+}
+
+bool slot_broker::mayUse(const slot_answer &Grant) const {
+  return acceptsRequests(Reports, Grant.Backend, Grant.StartedAtUnixMs,
+                         Clock.now());
 }
 
 void slot_broker::requestLocally(const std::string &Pool,
@@ -258,7 +255,7 @@
     Pending->Allocator = Host;
     Pending->Acknowledged = false;
     if (switchAllocator(Pool, Host))
-      Request.KnownLimits = knownLimitsFor(Pool);
+      Request.KnownReports = knownReportsFor(Pool);
     if (Host == Self)
       requestLocally(Pool, Request, Pending);
     else
@@ -282,6 +279,7 @@
       HeldSlots[Id] = {Pool,
                        Pending->Allocator,
                        Slot.Answer.Backend,
+                       Slot.Answer.StartedAtUnixMs,
                        Request.RequestClass,
                        Clock.now(),
                        Request.Deadline};
@@ -294,6 +292,30 @@
   co_return Slot;
 }
 
+// A server may have told this host that it wants no requests after the
+// allocator decided, or while the allocator could not be told.
+asio::awaitable<acquired_slot>
+slot_broker::acquireUsable(const std::string &Pool, slot_request Request,
+                           const std::shared_ptr<slot_wait> &Wait) {
+  acquired_slot Slot;
+  for (int Returned = 0; Returned < MaxGrantsReturned; ++Returned) {
+    Slot = co_await acquireFrom(Pool, Request, Wait);
+    const slot_answer &Answer = Slot.Answer;
+    if (Answer.Verdict != slot_verdict::Granted || mayUse(Answer))
+      co_return Slot;
+    logEvent(log_level::Info, "grant-returned",
+             {{"pool", Pool},
+              {"backend_server", Answer.Backend},
+              {"allocator", Slot.Allocator}});
+    release(Answer.Key.Id, slot_outcome::NotUsed, {});
+    Request.KnownReports = knownReportsFor(Pool);
+  }
+  Slot.Answer.Verdict = slot_verdict::Refused;
+  Slot.Answer.Reason = NoServerReason;
+  Slot.Answer.Backend.clear();
+  co_return Slot;
+}
+
 asio::awaitable<acquired_slot>
 slot_broker::acquire(std::string Service, slot_request Request,
                      std::shared_ptr<slot_wait> Wait) {
@@ -305,8 +327,10 @@
     const std::string Pool = choosePool(Service).Name;
     if (!TriedPools.insert(Pool).second)
       break;
-    Slot = co_await acquireFrom(Pool, Request, Wait);
-    if (!isRefusal(Slot.Answer, "overloaded") || Wait->GivenUp)
+    Slot = co_await acquireUsable(Pool, Request, Wait);
+    const bool OtherPoolMayServe = isRefusal(Slot.Answer, "overloaded") ||
+                                   isRefusal(Slot.Answer, NoServerReason);
+    if (!OtherPoolMayServe || Wait->GivenUp)
       break;
   }
   co_return Slot;
@@ -325,30 +349,31 @@
   advanceQueue(Pool);
 }
 
-void slot_broker::noteRateLimit(const std::string &Backend,
-                                const rate_limit &Limit) {
-  const time_point Now = Clock.now();
-  if (!Limit.RequestsPerSecond) {
-    KnownLimits.erase(Backend);
-    return;
-  }
-  std::erase_if(KnownLimits, [Now](const auto &Entry) {
-    return Now - Entry.second.ReportedAt >= KnownLimitMaxAge;
-  });
-  KnownLimits[Backend] = {Backend, Limit, Now};
+void slot_broker::noteReport(const held_slot &Slot,
+                             const backend_report &Report) {
+  const report_change Change = addReport(
+      Reports, Slot.Backend, Slot.StartedAtUnixMs, Report, Clock.now());
+  if (Change.StartedLeaving)
+    logEvent(log_level::Info, "backend-leaving",
+             {{"pool", Slot.Pool}, {"backend_server", Slot.Backend}});
+  if (Change.HeldOff)
+    logEvent(log_level::Info, "backend-hold-off",
+             {{"pool", Slot.Pool},
+              {"backend_server", Slot.Backend},
+              {"hold_off_ms", toMilliseconds(Report.HoldOff)}});
 }
 
 void slot_broker::release(std::uint64_t Id, slot_outcome Outcome,
                           duration Elapsed,
-                          std::optional<rate_limit> ReportedLimit) {
+                          std::optional<backend_report> Report) {
   const auto Found = HeldSlots.find(Id);
   if (Found == HeldSlots.end())
     return;
   const held_slot Slot = Found->second;
   HeldSlots.erase(Found);
-  if (ReportedLimit)
-    noteRateLimit(Slot.Backend, *ReportedLimit);
-  const slot_release End = {{Self, Id}, Outcome, Elapsed, ReportedLimit};
+  if (Report)
+    noteReport(Slot, *Report);
+  const slot_release End = {{Self, Id}, Outcome, Elapsed, Report};
   sendSlotEnd(Slot.Allocator, Slot.Pool, End);
   const std::string &Current = CurrentAllocators[Slot.Pool].Host;
   if (Current != Slot.Allocator && !Current.empty())
@@ -415,6 +440,8 @@
                          {"in_use", Backend.Leases.size()},
                          {"slots", Backend.Registration.Slots},
                          {"requests_per_s", toJson(Backend.RateLimiter.Limit)},
+                         {"leaving", Backend.Leaving},
+                         {"hosts_held_off", Backend.Holds.size()},
                          {"sick_probability", Backend.FailureProbability}});
     Allocated[Pool] = json::object{{"waiting", State.Queue.size()},
                                    {"rate_limit_share", State.RateLimitShare},
--- a/src/libs/entry_host/slot_broker.h
+++ b/src/libs/entry_host/slot_broker.h
@@ -58,10 +58,10 @@
                                          slot_request Request,
                                          std::shared_ptr<slot_wait> Wait);
 
-  /// Returns the slot \p Id to its allocator, with the rate limit that the
-  /// backend server reported, if it responded. Unknown ids are ignored.
+  /// Returns the slot \p Id to its allocator, with what the backend server
+  /// stated about itself, if it responded. Unknown ids are ignored.
   void release(std::uint64_t Id, slot_outcome Outcome, duration Elapsed,
-               std::optional<rate_limit> ReportedLimit = {});
+               std::optional<backend_report> Report = {});
 
   /// Replaces the limits of the retry budget.
   void setRetryLimits(const retry_limits &Limits) { Retries = Limits; }
@@ -93,6 +93,7 @@
     std::string Pool;
     std::string Allocator;
     std::string Backend;
+    std::uint64_t StartedAtUnixMs = 0;
     std::string Work;
     time_point Start;
     time_point Deadline;
@@ -108,8 +109,12 @@
                                             allocator_role Role) const;
   void updateRole(slot_allocator &State, const std::string &Pool,
                   allocator_role Role);
-  [[nodiscard]] std::vector<known_rate_limit>
-  knownLimitsFor(const std::string &Pool) const;
+  [[nodiscard]] std::vector<known_backend_report>
+  knownReportsFor(const std::string &Pool) const;
+  [[nodiscard]] bool mayUse(const slot_answer &Grant) const;
+  asio::awaitable<acquired_slot>
+  acquireUsable(const std::string &Pool, slot_request Request,
+                const std::shared_ptr<slot_wait> &Wait);
   asio::awaitable<acquired_slot> acquireFrom(std::string Pool,
                                              slot_request Request,
                                              std::shared_ptr<slot_wait> Wait);
@@ -122,7 +127,7 @@
                       const pending_pointer &Pending);
   [[nodiscard]] bool switchAllocator(const std::string &Pool,
                                      const std::string &Host);
-  void noteRateLimit(const std::string &Backend, const rate_limit &Limit);
+  void noteReport(const held_slot &Slot, const backend_report &Report);
   void sendSlotEnd(const std::string &Allocator, const std::string &Pool,
                    const slot_release &End);
   void deliverAnswer(const std::string &Pool, const slot_answer &Answer);
@@ -149,9 +154,9 @@
   std::map<std::uint64_t, held_slot> HeldSlots;
   /// By pool.
   std::map<std::string, current_allocator> CurrentAllocators;
-  /// The rate limits in the responses that this host got, by backend server;
-  /// reported to an allocator that takes over.
-  std::map<std::string, known_rate_limit> KnownLimits;
+  /// What backend servers stated in the responses that this host got; passed
+  /// on to an allocator that takes over.
+  backend_reports Reports;
   std::map<std::string, std::weak_ptr<frame_link>> RequesterLinks;
   std::uint64_t NextId;
   bool AdvanceLoopRunning = false;
--- a/src/libs/entry_host/slot_wire.cpp
+++ b/src/libs/entry_host/slot_wire.cpp
@@ -27,6 +27,32 @@
   return IsValid ? rate_limit{Value.requests_per_s} : rate_limit{};
 }
 
+std::unique_ptr<wire::known_backend_report_value>
+toWire(const known_backend_report &Known, time_point Now) {
+  auto Value = std::make_unique<wire::known_backend_report_value>();
+  Value->backend_server = Known.Backend;
+  Value->started_at_unix_ms = Known.StartedAtUnixMs;
+  if (Known.Limit.RequestsPerSecond)
+    Value->limit = toWire(Known.Limit);
+  Value->age_ms = toWireMs(Now - Known.LimitReportedAt);
+  Value->leaving = Known.Leaving;
+  Value->held_ms = toWireMs(Known.HeldUntil - Now);
+  return Value;
+}
+
+known_backend_report fromWire(const wire::known_backend_report_value &Value,
+                              time_point Now) {
+  known_backend_report Known;
+  Known.Backend = Value.backend_server;
+  Known.StartedAtUnixMs = Value.started_at_unix_ms;
+  if (Value.limit)
+    Known.Limit = fromWire(*Value.limit);
+  Known.LimitReportedAt = Now - milliseconds(Value.age_ms);
+  Known.Leaving = Value.leaving;
+  Known.HeldUntil = Now + milliseconds(Value.held_ms);
+  return Known;
+}
+
 } // namespace
 
 wire::slot_request_value toWire(const slot_request &Request,
@@ -44,13 +70,8 @@
   Value.repeat = static_cast<std::uint8_t>(Request.RetryReason);
   Value.tried = Request.Tried;
   Value.unreachable = Request.Unreachable;
-  for (const known_rate_limit &Known : Request.KnownLimits) {
-    auto Entry = std::make_unique<wire::known_rate_limit_value>();
-    Entry->backend_server = Known.Backend;
-    Entry->limit = toWire(Known.Limit);
-    Entry->age_ms = toWireMs(Now - Known.ReportedAt);
-    Value.known_limits.push_back(std::move(Entry));
-  }
+  for (const known_backend_report &Known : Request.KnownReports)
+    Value.known_reports.push_back(toWire(Known, Now));
   return Value;
 }
 
@@ -68,11 +89,8 @@
       Value.repeat, static_cast<std::uint8_t>(retry_reason::Hedge)));
   Request.Tried = Value.tried;
   Request.Unreachable = Value.unreachable;
-  for (const auto &Entry : Value.known_limits)
-    if (Entry->limit)
-      Request.KnownLimits.push_back({Entry->backend_server,
-                                     fromWire(*Entry->limit),
-                                     Now - milliseconds(Entry->age_ms)});
+  for (const auto &Entry : Value.known_reports)
+    Request.KnownReports.push_back(fromWire(*Entry, Now));
   return Request;
 }
 
@@ -81,6 +99,7 @@
   Value.id = Answer.Key.Id;
   Value.verdict = static_cast<wire::slot_verdict>(Answer.Verdict);
   Value.backend_server = Answer.Backend;
+  Value.started_at_unix_ms = Answer.StartedAtUnixMs;
   if (Answer.Verdict == slot_verdict::Granted)
     Value.address = toString(Answer.Address);
   Value.hedge_after_ms = toWireMs(Answer.HedgeAfter);
@@ -95,6 +114,7 @@
   Answer.Key = {Self, Value.id};
   Answer.Verdict = static_cast<slot_verdict>(Value.verdict);
   Answer.Backend = Value.backend_server;
+  Answer.StartedAtUnixMs = Value.started_at_unix_ms;
   if (Answer.Verdict == slot_verdict::Granted) {
     const result<socket_address> Address = parseAddress(Value.address);
     if (!Address)
@@ -114,8 +134,12 @@
   Value.pool = Pool;
   Value.outcome = static_cast<std::uint8_t>(End.Outcome);
   Value.elapsed_ms = toWireMs(End.Elapsed);
-  if (End.ReportedLimit)
-    Value.rate_limit = toWire(*End.ReportedLimit);
+  if (End.Report) {
+    if (End.Report->Limit)
+      Value.rate_limit = toWire(*End.Report->Limit);
+    Value.leaving = End.Report->Leaving;
+    Value.hold_off_ms = toWireMs(End.Report->HoldOff);
+  }
   return Value;
 }
 
@@ -125,8 +149,13 @@
   End.Outcome = static_cast<slot_outcome>(std::min<std::uint8_t>(
       Value.outcome, static_cast<std::uint8_t>(slot_outcome::NotUsed)));
   End.Elapsed = milliseconds(Value.elapsed_ms);
+  backend_report Report;
   if (Value.rate_limit)
-    End.ReportedLimit = fromWire(*Value.rate_limit);
+    Report.Limit = fromWire(*Value.rate_limit);
+  Report.Leaving = Value.leaving;
+  Report.HoldOff = milliseconds(Value.hold_off_ms);
+  if (Report != backend_report())
+    End.Report = Report;
   return End;
 }
 
--- a/tests/auto/allocation/allocation_fixture.h
+++ b/tests/auto/allocation/allocation_fixture.h
@@ -12,7 +12,9 @@
 inline backend_registration makeServer(const std::string &Name,
                                        std::uint32_t Slots = 3,
                                        const std::string &Zone = "a") {
-  return {Name, "service", {"10.0.0.1", 80}, Zone, Slots, false, {}, 1};
+  constexpr std::uint64_t StartedAtUnixMs = 1;
+  return {Name,  "service", {"10.0.0.1", 80}, Zone, Slots,
+          false, {},        StartedAtUnixMs};
 }
 
 inline std::vector<backend_registration> makeServers(int Count,
@@ -37,4 +39,17 @@
   return Request;
 }
 
+/// Makes a report that says nothing but the rate limit of a server of
+/// makeServer().
+inline known_backend_report knownLimit(const std::string &Backend,
+                                       rate_limit Limit,
+                                       time_point ReportedAt) {
+  known_backend_report Known;
+  Known.Backend = Backend;
+  Known.StartedAtUnixMs = makeServer(Backend).StartedAtUnixMs;
+  Known.Limit = Limit;
+  Known.LimitReportedAt = ReportedAt;
+  return Known;
+}
+
 } // namespace coriandertray::testing
--- a/tests/auto/allocation/tst_rate_limit.cpp
+++ b/tests/auto/allocation/tst_rate_limit.cpp
@@ -67,7 +67,7 @@
       else
         releaseSlot(State,
                     {Each.Key, slot_outcome::Succeeded, RequestDuration,
-                     Limits[Each.Backend]},
+                     backend_report{Limits[Each.Backend], false, {}}},
                     Now);
     }
     InFlight = std::move(Left);
@@ -151,7 +151,7 @@
   time_point Now{std::chrono::hours(1)};
   setBackends(State, makeServers(1), Now);
   slot_request First = makeRequest(1, Now);
-  First.KnownLimits = {{"server-0", {0.25}, Now}};
+  First.KnownReports = {knownLimit("server-0", {0.25}, Now)};
   const slot_answer Answer = requestSlot(State, First, Now);
   CHECK(Answer.Verdict == slot_verdict::Refused);
   CHECK(Answer.Reason == "overloaded");
@@ -177,12 +177,12 @@
   slot_allocator Successor;
   setBackends(Successor, makeServers(1), Now);
   slot_request First = makeRequest(1, Now);
-  First.KnownLimits = {{"server-0", {2.0}, Now - seconds(1)},
-                       {"elsewhere", {2.0}, Now}};
+  First.KnownReports = {knownLimit("server-0", {2.0}, Now - seconds(1)),
+                        knownLimit("elsewhere", {2.0}, Now)};
   CHECK(requestSlot(Successor, First, Now).Verdict == slot_verdict::Queued);
   // A report that is older than the one known does not replace it.
   slot_request Second = makeRequest(2, Now);
-  Second.KnownLimits = {{"server-0", {}, Now - seconds(2)}};
+  Second.KnownReports = {knownLimit("server-0", {}, Now - seconds(2))};
   CHECK(requestSlot(Successor, Second, Now).Verdict == slot_verdict::Queued);
   CHECK(takeRateLimitChanges(Successor) ==
         std::vector<rate_limit_change>{{"server-0", {}, {2.0}}});
@@ -193,14 +193,14 @@
   slot_allocator State;
   setBackends(State, makeServers(1), Now);
   slot_request Request = makeRequest(1, Now);
-  Request.KnownLimits = {{"server-0", {0.5}, Now}};
+  Request.KnownReports = {knownLimit("server-0", {0.5}, Now)};
   CHECK(requestSlot(State, Request, Now).Verdict != slot_verdict::Granted);
   Now += milliseconds(100);
   backend_registration Restarted = makeServer("server-0");
   Restarted.StartedAtUnixMs = 2;
   setBackends(State, {Restarted}, Now);
   slot_request Stale = makeRequest(2, Now);
-  Stale.KnownLimits = {{"server-0", {0.5}, Now - milliseconds(50)}};
+  Stale.KnownReports = {knownLimit("server-0", {0.5}, Now - milliseconds(50))};
   (void)processQueue(State, Now);
   CHECK(isGrantedSoon(State, Stale, Now));
 }
@@ -211,7 +211,7 @@
   setBackends(State, makeServers(1), Now - seconds(10));
   State.RetryLimits.Slack = 100;
   slot_request First = makeRequest(1, Now, true);
-  First.KnownLimits = {{"server-0", {10.0}, Now - seconds(8)}};
+  First.KnownReports = {knownLimit("server-0", {10.0}, Now - seconds(8))};
   (void)requestSlot(State, First, Now - seconds(5));
   slot_request Hedge = makeRequest(2, Now, true);
   Hedge.RetryReason = retry_reason::Hedge;
--- a/tests/auto/entry_host/fleet_fixture.h
+++ b/tests/auto/entry_host/fleet_fixture.h
@@ -25,8 +25,8 @@
 namespace coriandertray::testing {
 
 const header_names TestNames = {
-    "Test-Request-Id", "Test-Deadline-Ms", "Test-Signature", "Test-Target",
-    "Test-Load",       "Test-Not-Run",     "Test-Rate-Limit"};
+    "Test-Request-Id", "Test-Deadline-Ms", "Test-Signature",  "Test-Target",
+    "Test-Load",       "Test-Not-Run",     "Test-Rate-Limit", "Test-Leaving"};
 
 /// A platform that keeps its objects in memory.
 class in_memory_platform final : public platform_port {
--- a/tests/auto/entry_host/tst_attempt_classification.cpp
+++ b/tests/auto/entry_host/tst_attempt_classification.cpp
@@ -76,23 +76,53 @@
   call_result Result;
   Result.Status = call_status::Answered;
   Result.Response.Status = 200;
+  const auto ReadLimit = [&Result] {
+    return readBackendReport(Result, TestNames)
+        .Report.value_or(backend_report())
+        .Limit;
+  };
   setHeader(Result.Response.Headers, TestNames.RateLimit, "2.5");
-  CHECK(reportedRateLimit(Result, TestNames).value() ==
-        std::optional<rate_limit>());
+  CHECK(ReadLimit() == std::optional<rate_limit>());
   setHeader(Result.Response.Headers, TestNames.Signature, "signed");
-  CHECK(reportedRateLimit(Result, TestNames).value() == rate_limit{2.5});
+  CHECK(ReadLimit() == rate_limit{2.5});
   for (const char *Malformed : {"", "fast", "-1", "2.5/s", "nan", "inf"}) {
     setHeader(Result.Response.Headers, TestNames.RateLimit, Malformed);
-    const auto Limit = reportedRateLimit(Result, TestNames);
-    REQUIRE_FALSE(Limit);
-    CHECK(Limit.error().Code == error_code::ValueOutOfRange);
+    const report_reading Reading = readBackendReport(Result, TestNames);
+    REQUIRE(Reading.Faults.size() == 1);
+    CHECK(Reading.Faults.front().Code == error_code::ValueOutOfRange);
+    CHECK(ReadLimit() == std::optional<rate_limit>());
   }
   removeHeader(Result.Response.Headers, TestNames.RateLimit);
-  CHECK(reportedRateLimit(Result, TestNames).value() == rate_limit{});
+  CHECK(ReadLimit() == rate_limit{});
   Result.Response.Status = 421;
-  CHECK(reportedRateLimit(Result, TestNames).value() ==
-        std::optional<rate_limit>());
+  CHECK(readBackendReport(Result, TestNames).Report ==
+        std::optional<backend_report>());
   Result.Status = call_status::Truncated;
-  CHECK(reportedRateLimit(Result, TestNames).value() ==
-        std::optional<rate_limit>());
+  CHECK(readBackendReport(Result, TestNames).Report ==
+        std::optional<backend_report>());
+}
+
+TEST_CASE("a server's leaving and its Retry-After are read, even next to a "
+          "malformed header") {
+  call_result Result;
+  Result.Status = call_status::Answered;
+  Result.Response.Status = 503;
+  Result.Response.Headers = {{TestNames.NotRun, "1"},
+                             {TestNames.RateLimit, "many"},
+                             {TestNames.Leaving, "1"},
+                             {"Retry-After", "1.25"}};
+  report_reading Reading = readBackendReport(Result, TestNames);
+  CHECK(Reading.Faults.size() == 1);
+  REQUIRE(Reading.Report);
+  CHECK(Reading.Report->Leaving);
+  CHECK(Reading.Report->HoldOff == milliseconds(1250));
+  setHeader(Result.Response.Headers, "Retry-After", "soon");
+  Reading = readBackendReport(Result, TestNames);
+  CHECK(Reading.Faults.size() == 2);
+  CHECK(Reading.Report->HoldOff == duration::zero());
+  // Only a 503 says that the server wants nothing for a while.
+  Result.Response.Status = 500;
+  setHeader(Result.Response.Headers, "Retry-After", "3");
+  CHECK(readBackendReport(Result, TestNames).Report->HoldOff ==
+        duration::zero());
 }
--- a/tests/auto/entry_host/tst_slot_wire.cpp
+++ b/tests/auto/entry_host/tst_slot_wire.cpp
@@ -24,8 +24,9 @@
   Request.RetryReason = retry_reason::Hedge;
   Request.Tried = {"x"};
   Request.Unreachable = {"y", "z"};
-  Request.KnownLimits = {{"x", {1.5}, Now - milliseconds(70)},
-                         {"y", {}, Now - milliseconds(5)}};
+  Request.KnownReports = {
+      {"x", 17, {1.5}, Now - milliseconds(70), false, Now},
+      {"y", 18, {}, Now - milliseconds(5), true, Now + milliseconds(1500)}};
   CHECK(fromWire(toWire(Request, "service", Now), Now) == Request);
   slot_answer Answer;
   Answer.Key = {"host", 7};
@@ -33,13 +34,17 @@
   Answer.Backend = "x";
   Answer.Address = {"10.0.0.1", 80};
   Answer.HedgeAfter = milliseconds(300);
+  Answer.StartedAtUnixMs = 17;
   CHECK(fromWire(toWire(Answer), "host") == Answer);
   const slot_release End = {
       {"host", 7}, slot_outcome::Silent, milliseconds(12)};
   CHECK(fromWire(toWire(End, "service")) == End);
-  for (const rate_limit &Limit : {rate_limit{}, rate_limit{0.5}}) {
+  for (const backend_report &Report :
+       {backend_report{rate_limit{}, false, {}},
+        backend_report{rate_limit{0.5}, true, milliseconds(900)},
+        backend_report{{}, true, {}}}) {
     slot_release Reporting = End;
-    Reporting.ReportedLimit = Limit;
+    Reporting.Report = Report;
     CHECK(fromWire(toWire(Reporting, "service")) == Reporting);
   }
   const slot_lease_report Use = {
