--- a/src/libs/utils/query.cpp
+++ b/src/libs/utils/query.cpp
@@ -33,4 +33,25 @@
   return Number;
 }
 
+std::string percentEncode(std::string_view Text) {
+  constexpr std::string_view Unreserved = "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+                                          "abcdefghijklmnopqrstuvwxyz"
+                                          "0123456789-._~";
+  constexpr std::string_view HexDigits = "0123456789ABCDEF";
+  constexpr unsigned BitsPerDigit = 4;
+  constexpr unsigned DigitMask = 15;
+  std::string Encoded;
+  for (const char Character : Text) {
+    if (Unreserved.find(Character) != std::string_view::npos) {
+      Encoded += Character;
+      continue;
+    }
+    const auto Byte = static_cast<unsigned char>(Character);
+    Encoded += '%';
+    Encoded += HexDigits[Byte >> BitsPerDigit];
+    Encoded += HexDigits[Byte & DigitMask];
+  }
+  return Encoded;
+}
+
 } // namespace coriandertray
--- a/src/libs/utils/query.h
+++ b/src/libs/utils/query.h
@@ -22,4 +22,8 @@
 [[nodiscard]] long long queryNumber(const parsed_target &Target,
                                     std::string_view Key, long long Default);
 
+/// \returns \p Text with all bytes percent-encoded that have a meaning in a
+/// target or must not appear there.
+[[nodiscard]] std::string percentEncode(std::string_view Text);
+
 } // namespace coriandertray
--- a/tests/auto/platform/fake_object_store.h
+++ b/tests/auto/platform/fake_object_store.h
@@ -108,6 +108,15 @@
     ++Epoch;
   }
 
+  /// Writes an object whose specification is served as \p Text, which need not
+  /// be valid JSON.
+  void putRaw(const std::string &Kind, const std::string &Name,
+              std::string Text) {
+    const std::string Placeholder = "raw:" + Kind + "/" + Name;
+    RawTexts['"' + Placeholder + '"'] = std::move(Text);
+    put(Kind, Name, json::string(Placeholder));
+  }
+
   store_faults Faults;
   /// Objects in one page of a list.
   std::size_t PageSize = 500;
@@ -162,6 +171,15 @@
     co_return Faults.DropsWriteResponses ? closedConnection() : Response;
   }
 
+  http_response jsonResponseWithRawTexts(const json::object &Body) const {
+    std::string Text = json::serialize(Body);
+    for (const auto &[Placeholder, Raw] : RawTexts)
+      for (std::size_t At = Text.find(Placeholder); At != std::string::npos;
+           At = Text.find(Placeholder, At + Raw.size()))
+        Text.replace(At, Placeholder.size(), Raw);
+    return jsonResponse(200, std::move(Text));
+  }
+
   http_response list(const std::string &Kind, const parsed_target &Target) {
     const auto After = Target.Query.find("after");
     json::array Items;
@@ -175,10 +193,8 @@
       }
       Items.push_back(Object);
     }
-    return jsonResponse(
-        200,
-        json::serialize(json::object{
-            {"items", std::move(Items)}, {"more", More}, {"as_of", Revision}}));
+    return jsonResponseWithRawTexts(json::object{
+        {"items", std::move(Items)}, {"more", More}, {"as_of", Revision}});
   }
 
   asio::awaitable<http_response> watch(std::string Kind, parsed_target Target) {
@@ -197,9 +213,8 @@
           Matches.push_back(json::object{{"deleted", Event.Deleted},
                                          {"object", Event.Object}});
       if (!Matches.empty() && !Faults.WatchesMissEvents)
-        co_return jsonResponse(
-            200, json::serialize(json::object{{"events", std::move(Matches)},
-                                              {"as_of", Revision}}));
+        co_return jsonResponseWithRawTexts(
+            json::object{{"events", std::move(Matches)}, {"as_of", Revision}});
       asio::steady_timer Timer(Context, milliseconds(StepMs));
       co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
@@ -230,6 +245,8 @@
   asio::io_context &Context;
   std::map<std::string, std::map<std::string, json::object>> Objects;
   std::deque<event> Events;
+  /// Texts to serve, by the quoted placeholder that stands for them.
+  std::map<std::string, std::string> RawTexts;
   std::uint64_t Revision = 100;
   std::uint64_t Epoch = 1;
   http_server Server;
