HTTP client: Believe no response that doesn't name its request

Report of another operator: a server writes an earlier refusal once more on a kept connection, and callers are told "not run" for requests that ran.

Cause: a response without an id counted as the response to the request that was pending.

Change: hosts require the id of the request in the response, as backend servers echo it. A response without one is malformed and ends its connection; the outcome of the request is then unknown, so one that may not be repeated is neither refused as not run nor sent again.

--- a/src/libs/entry_host/entry_host.cpp
+++ b/src/libs/entry_host/entry_host.cpp
@@ -37,6 +37,7 @@
   Limits.TotalBodyBytes = MaxReceivedBodyBytes;
   Limits.IdleConnectionsPerAddress = 2;
   Limits.RequestIdHeader = Names.RequestId;
+  Limits.RequireRequestId = true;
   Limits.AcceptResponsesWithoutLength = true;
   return Limits;
 }
--- a/src/libs/http/http_client.cpp
+++ b/src/libs/http/http_client.cpp
@@ -87,13 +87,24 @@
   return ResponseBegan ? call_status::Truncated : call_status::Lost;
 }
 
-// A response with another request id is a late response to an earlier request
-// that was abandoned.
-bool matchesRequestId(const std::optional<std::string> &SentId,
-                      const std::string &IdHeader,
-                      const http_response &Response) {
-  const auto ReturnedId = findHeader(Response.Headers, IdHeader);
-  return !SentId || !ReturnedId || *SentId == *ReturnedId;
+enum class request_id_match : std::uint8_t {
+  Matches,
+  /// A late response to an earlier request that was abandoned.
+  Differs,
+  /// The response doesn't tell which request it is for.
+  Missing,
+};
+
+request_id_match matchRequestId(const std::optional<std::string> &SentId,
+                                const http_client_limits &Limits,
+                                const http_response &Response) {
+  const auto ReturnedId = findHeader(Response.Headers, Limits.RequestIdHeader);
+  if (!SentId || SentId == ReturnedId)
+    return request_id_match::Matches;
+  if (ReturnedId)
+    return request_id_match::Differs;
+  return Limits.RequireRequestId ? request_id_match::Missing
+                                 : request_id_match::Matches;
 }
 
 bool isInterim(const http_response &Response) {
@@ -341,12 +352,14 @@
     Result.Status = call_status::Answered;
     if (isInterim(Result.Response))
       continue;
-    if (matchesRequestId(SentId, Client->Limits.RequestIdHeader,
-                         Result.Response))
+    const request_id_match Match =
+        matchRequestId(SentId, Client->Limits, Result.Response);
+    if (Match == request_id_match::Matches)
       break;
     MismatchedResponse = true;
     Result.Status = call_status::Malformed;
-    if (!LengthKnown || !KeepAlive)
+    const bool MayFollow = LengthKnown && KeepAlive;
+    if (Match == request_id_match::Missing || !MayFollow)
       break;
   }
   if (isInterim(Result.Response))
--- a/src/libs/http/http_client.h
+++ b/src/libs/http/http_client.h
@@ -79,6 +79,9 @@
   /// The header that servers copy from the request to the response. A response
   /// with another value belongs to another request.
   std::string RequestIdHeader = std::string(header::RequestId);
+  /// Whether a response must carry the request id if the request did. One
+  /// without it may have been sent for another request.
+  bool RequireRequestId = false;
   /// Whether a response without a length counts as complete once the server
   /// closes the connection. Otherwise it counts as Truncated.
   bool AcceptResponsesWithoutLength = false;
--- /dev/null
+++ b/tests/auto/http/tst_cut_responses.cpp
@@ -0,0 +1,91 @@
+#include "http/http_client.h"
+#include "raw_server.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+// A server may end in the middle of a response. The caller must never get what
+// has arrived until then as if it were the whole response.
+
+using namespace coriandertray;
+using namespace coriandertray::testing;
+
+namespace {
+
+const socket_address ServerAddress = {"127.97.0.3", 18'099};
+
+constexpr std::string_view WithLength = "HTTP/1.1 200 OK\r\n"
+                                        "X-Request-Id: mine\r\n"
+                                        "Content-Length: 30\r\n"
+                                        "Signature: 3e1b.07\r\n\r\n"
+                                        "thirty bytes, and not one less";
+constexpr std::string_view Chunked = "HTTP/1.1 200 OK\r\n"
+                                     "X-Request-Id: mine\r\n"
+                                     "Transfer-Encoding: chunked\r\n\r\n"
+                                     "10;name=value\r\nsixteen of bytes\r\n"
+                                     "5\r\nfive.\r\n"
+                                     "0\r\nTrailer: 1\r\n\r\n";
+constexpr std::string_view AfterInterim = "HTTP/1.1 100 Continue\r\n\r\n"
+                                          "HTTP/1.1 200 OK\r\n"
+                                          "X-Request-Id: mine\r\n"
+                                          "Content-Length: 2\r\n\r\nok";
+constexpr std::string_view WithoutLength = "HTTP/1.1 200 OK\r\n"
+                                           "X-Request-Id: mine\r\n"
+                                           "Signature: 3e1b.07\r\n\r\n"
+                                           "until the end";
+
+/// \returns the result of one call that \p Reply answers.
+call_result callOnce(const raw_reply &Reply) {
+  asio::io_context Context;
+  raw_server Server(Context, ServerAddress,
+                    [&Reply](const raw_request &) { return Reply; });
+  http_client_limits Limits;
+  Limits.AcceptResponsesWithoutLength = true;
+  http_client Client(Context, Limits);
+  call_result Result;
+  asio::co_spawn(
+      Context,
+      [&]() -> asio::awaitable<void> {
+        http_request Request;
+        Request.Method = "GET";
+        Request.Target = "/";
+        Request.Headers = {{std::string(header::RequestId), "mine"}};
+        call_options Options;
+        Result = co_await Client.call(ServerAddress, Request, Options);
+        Context.stop();
+      },
+      asio::detached);
+  Context.run();
+  return Result;
+}
+
+} // namespace
+
+TEST_CASE("a response cut at any byte is not answered") {
+  for (const std::string_view Whole : {WithLength, Chunked, AfterInterim}) {
+    CHECK(callOnce({std::string(Whole)}).Status == call_status::Answered);
+    for (std::size_t Length = 0; Length < Whole.size(); ++Length)
+      for (const after_reply End : {after_reply::Close, after_reply::Reset}) {
+        CAPTURE(Whole.substr(0, Length));
+        const call_result Cut =
+            callOnce({std::string(Whole.substr(0, Length)), End});
+        CHECK(Cut.Status != call_status::Answered);
+        CHECK_FALSE(provesNotRun(Cut.Status));
+      }
+  }
+}
+
+TEST_CASE("a response without a length is whole only if its connection is "
+          "closed after the head") {
+  const std::size_t BodyAt = WithoutLength.find("\r\n\r\n") + 4;
+  for (std::size_t Length = 0; Length <= WithoutLength.size(); ++Length) {
+    CAPTURE(Length);
+    const std::string Sent(WithoutLength.substr(0, Length));
+    const call_result Closed = callOnce({Sent, after_reply::Close});
+    CHECK((Closed.Status == call_status::Answered) == (Length >= BodyAt));
+    CHECK(callOnce({Sent, after_reply::Reset}).Status != call_status::Answered);
+  }
+}
