Allocation: Count the servers of a new allocator as unused

An allocator begins its state with the first request and took each server as used at that moment, so for the next 1.5 s it steered no request to an unused server.

Change: the servers of an allocator's first list count as unused. Servers that join later still wait until they are warm.

Test: 25 requests/s at a pool of 30 servers for two seconds.

--- a/src/libs/allocation/slot_allocator.cpp
+++ b/src/libs/allocation/slot_allocator.cpp
@@ -233,7 +233,11 @@
   Record.FailureEstimate = {State.PriorLogOdds, Now};
   Record.FailureProbability = logOddsToProbability(State.PriorLogOdds);
   Record.JoinedAt = Now;
-  Record.LastGrantAt = Now;
+  // Nothing is known of the use of the servers in the first list, which is that
+  // of a new allocator, so they count as unused. Servers that join later get
+  // their first request once they are warm.
+  if (State.FirstBackendListAt)
+    Record.LastGrantAt = Now;
   Record.RateLimiter.Share = State.RateLimitShare;
   // Older reports are about an earlier start of the server.
   if (State.FirstBackendListAt)
--- a/tests/auto/allocation/tst_slot_allocator.cpp
+++ b/tests/auto/allocation/tst_slot_allocator.cpp
@@ -469,3 +469,51 @@
     CHECK(Simulation.Granted.size() >= 12);
   }
 }
+
+TEST_CASE(
+    "a new allocator uses most of its servers within two seconds, whether "
+    "or not some lose their requests") {
+  // The load of one pool of a large service at the start of traffic.
+  constexpr int ServerCount = 30;
+  constexpr duration Interval = milliseconds(40);
+  constexpr duration RequestDuration = milliseconds(230);
+  constexpr duration FloorWindow = seconds(2);
+  constexpr double FloorShare = 0.7;
+  for (const int LosingServers : {0, 7}) {
+    CAPTURE(LosingServers);
+    slot_allocator State;
+    time_point Now{std::chrono::hours(1)};
+    setBackends(State, makeServers(ServerCount), Now);
+    std::set<std::string> Losing;
+    for (int Number = 0; Number < LosingServers; ++Number)
+      Losing.insert("server-" + std::to_string(Number * 4));
+    std::set<std::string> Used;
+    std::vector<std::pair<time_point, slot_key>> Running;
+    const time_point End = Now + FloorWindow;
+    const auto Use = [&](const slot_answer &Answer) {
+      if (Answer.Verdict != slot_verdict::Granted)
+        return;
+      Used.insert(Answer.Backend);
+      if (!Losing.contains(Answer.Backend))
+        Running.emplace_back(Now + RequestDuration, Answer.Key);
+    };
+    for (std::uint64_t Id = 0; Now < End; ++Id, Now += Interval) {
+      std::erase_if(Running, [&](const auto &Request) {
+        if (Request.first > Now)
+          return false;
+        releaseSlot(
+            State,
+            {Request.second, slot_outcome::Succeeded, RequestDuration, {}},
+            Now);
+        return true;
+      });
+      for (const slot_answer &Answer : processQueue(State, Now))
+        Use(Answer);
+      Use(requestSlot(State, makeRequest(Id, Now, Id % 5 == 0), Now));
+    }
+    const auto Sound = std::ranges::count_if(
+        Used, [&](const std::string &Name) { return !Losing.contains(Name); });
+    CHECK(static_cast<double>(Sound) >=
+          FloorShare * (ServerCount - LosingServers));
+  }
+}
