Fleet view: Pass the view on through relays in a large fleet

Cause: the reader sent its view to each of 443 hosts itself. Of 5152 requests in the two seconds after the loss, 570 were served in time and 3965 refused.

Change: fleets of 64 hosts or more have relays, one for 32 hosts of an availability zone, chosen by rendezvous hashing among the hosts with enough capacity. A host subscribes to the first usable relay of its zone, relays to the reader. A host with a stale view subscribes to the reader and the backup readers as well. Subscriptions name the subscribers of a relay, as the reader would otherwise take their hosts for lost. A mere confirmation is passed on only if it makes the view 150 ms younger, since two hosts that subscribe to each other would otherwise keep confirming one another.

--- a/src/libs/entry_host/entry_host.cpp
+++ b/src/libs/entry_host/entry_host.cpp
@@ -57,7 +57,7 @@
                        platform_port &Platform)
     : Context(Context), Clock(Clock), Settings(std::move(Settings)),
       Client(Context, clientLimits(Names)),
-      Peers(Context, Clock, this->Settings.Host),
+      Peers(Context, Clock, this->Settings.Host, this->Settings.Relays),
       Slots(Context, Clock, Peers, this->Settings.Host, this->Settings.Zone,
             this->Settings.Retries),
       View(Context, Clock, Platform, Peers,
--- a/src/libs/entry_host/fleet_view.cpp
+++ b/src/libs/entry_host/fleet_view.cpp
@@ -363,6 +363,9 @@
 
 asio::awaitable<void> fleet_view::removeUnresponsiveMembers() {
   const time_point Now = Clock.now();
+  std::erase_if(HeardAt, [Now](const auto &Entry) {
+    return Now - Entry.second > UnresponsiveRemovalTime;
+  });
   std::vector<std::string> Unresponsive;
   for (const fleet_member &Member : Peers.members()) {
     const bool Responsive =
--- a/src/libs/entry_host/fleet_view.h
+++ b/src/libs/entry_host/fleet_view.h
@@ -3,9 +3,10 @@
 /// the backend servers and the other hosts.
 ///
 /// One host, the reader, reads the platform for all hosts and pushes changes to
-/// them. Every host tracks the age of its view. If the view grows too old, the
-/// host subscribes to the next hosts in the rank order of the reader duty, the
-/// backup readers, and finally reads the platform itself.
+/// them, in a large fleet by way of relays. Every host tracks the age of its
+/// view. If the view grows too old, the host subscribes to the reader itself
+/// and to the next hosts in the rank order of the reader duty, the backup
+/// readers, and finally reads the platform itself.
 #pragma once
 
 #include "entry_host/peer_network.h"
@@ -80,6 +81,9 @@
   asio::awaitable<void> fetchConfigFrom(std::string Host);
   asio::awaitable<void> removeUnresponsiveMembers();
   void subscribe();
+  [[nodiscard]] std::string relayOrReader() const;
+  void receiveSubscription(const link_pointer &Link,
+                           const wire::view_subscribe_value &Value);
   [[nodiscard]] wire::view_subscribe_value makeSubscription() const;
   [[nodiscard]] bool isReader() const;
   [[nodiscard]] bool isStale() const;
@@ -130,6 +134,8 @@
   /// When the current configuration was last known to be the newest one.
   std::optional<time_point> ConfigConfirmedAt;
   std::map<std::string, subscriber> Subscribers;
+  /// When a host last subscribed here or at a host that subscribed here.
+  std::map<std::string, time_point> HeardAt;
   std::map<std::string, time_point> UnheardSince;
   /// The newest document read from the platform, even if it was rejected.
   history_position SeenPosition;
--- a/src/libs/entry_host/fleet_view_exchange.cpp
+++ b/src/libs/entry_host/fleet_view_exchange.cpp
@@ -24,6 +24,10 @@
 // after another host subscribes to it.
 constexpr duration BackupReadTime = milliseconds(2000);
 constexpr duration SubscriberExpiry = seconds(3);
+// A view that was merely confirmed is passed on if that made it younger by this
+// at least. Two hosts that subscribed to each other would otherwise confirm
+// each other's view for ever, as the time on the way doesn't count as age.
+constexpr duration MinForwardedAdvance = milliseconds(150);
 
 std::uint32_t toWireMs(duration Age) {
   return static_cast<std::uint32_t>(
@@ -35,11 +39,14 @@
 void fleet_view::subscribe() {
   SubscribedAt = Clock.now();
   const std::string Reader = readerHost();
-  Peers.send(Reader, makeBody(makeSubscription()));
+  const std::string Source = relayOrReader();
+  Peers.send(Source, makeBody(makeSubscription()));
   if (!isStale())
     return;
-  // The reader may be cut off from the platform: subscribe to the backup
-  // readers in turn.
+  // The relay may be slow, or the reader cut off from the platform: subscribe
+  // to the reader itself, and to the backup readers in turn.
+  if (Source != Reader)
+    Peers.send(Reader, makeBody(makeSubscription()));
   std::vector<std::string> BackupReaders;
   for (const std::string &Host : Peers.hostsRankedFor(ReaderDuty))
     if (Host != Reader && Host != Self.Host && Peers.isUsable(Host))
@@ -49,11 +56,22 @@
                makeBody(makeSubscription()));
 }
 
+std::string fleet_view::relayOrReader() const {
+  const auto Relay =
+      std::ranges::find_if(Peers.relays(), [this](const std::string &Host) {
+        return Peers.isUsable(Host);
+      });
+  return Relay == Peers.relays().end() ? readerHost() : *Relay;
+}
+
 wire::view_subscribe_value fleet_view::makeSubscription() const {
   wire::view_subscribe_value Value;
   Value.host = Self.Host;
   Value.backends_version = newestVersion(BackendLists);
   Value.members_version = MembersVersion;
+  for (const auto &[Host, Subscriber] : Subscribers)
+    if (Clock.now() - Subscriber.LastHeardAt < SubscriberExpiry)
+      Value.subscribers.push_back(Host);
   return Value;
 }
 
@@ -102,9 +120,16 @@
 
 void fleet_view::receivePush(const link_pointer &Link,
                              const wire::view_push_value &Push) {
+  const auto Versions = [this] {
+    return std::make_pair(newestVersion(BackendLists), MembersVersion);
+  };
+  const auto VersionsBefore = Versions();
+  const duration AgeBefore = age();
   receiveBackends(Push);
   receiveMembers(Push);
   receiveConfigAge(Link, Push);
+  if (Versions() != VersionsBefore || age() + MinForwardedAdvance <= AgeBefore)
+    pushAll();
 }
 
 void fleet_view::receiveBackends(const wire::view_push_value &Push) {
@@ -146,24 +171,31 @@
     return;
   }
   AnnouncedVersion = Push.config_version;
-  for (const std::string &Host : Peers.hostsRankedFor(ReaderDuty))
-    if (Peers.linkTo(Host) == Link) {
-      asio::co_spawn(Context, fetchConfigFrom(Host), asio::detached);
-      return;
-    }
+  const std::string Host = Peers.hostAt(Link);
+  if (!Host.empty())
+    asio::co_spawn(Context, fetchConfigFrom(Host), asio::detached);
+}
+
+void fleet_view::receiveSubscription(const link_pointer &Link,
+                                     const wire::view_subscribe_value &Value) {
+  const time_point Now = Clock.now();
+  subscriber &Known = Subscribers[Value.host];
+  Known.Link = Link;
+  Known.LastHeardAt = Now;
+  Known.BackendsVersion = Value.backends_version;
+  Known.MembersVersion = Value.members_version;
+  HeardAt[Value.host] = Now;
+  for (const std::string &Host : Value.subscribers)
+    HeardAt[Host] = Now;
+  if (Directory.ConfirmedAt)
+    push(Known);
+  if (isStale())
+    BackupReaderUntil = Now + BackupReadTime;
 }
 
 bool fleet_view::receive(const link_pointer &Link, const envelope &Message) {
   if (const auto *Value = Message.body.Asview_subscribe()) {
-    subscriber &Known = Subscribers[Value->host];
-    Known.Link = Link;
-    Known.LastHeardAt = Clock.now();
-    Known.BackendsVersion = Value->backends_version;
-    Known.MembersVersion = Value->members_version;
-    if (Directory.ConfirmedAt)
-      push(Known);
-    if (isStale())
-      BackupReaderUntil = Clock.now() + BackupReadTime;
+    receiveSubscription(Link, *Value);
     return true;
   }
   if (const auto *Value = Message.body.Asview_push()) {
@@ -208,9 +240,9 @@
 }
 
 bool fleet_view::heardRecently(const std::string &Host) const {
-  const auto Known = Subscribers.find(Host);
-  return Known != Subscribers.end() &&
-         Clock.now() - Known->second.LastHeardAt < SubscriberExpiry;
+  const auto Heard = HeardAt.find(Host);
+  return Heard != HeardAt.end() &&
+         Clock.now() - Heard->second < SubscriberExpiry;
 }
 
 } // namespace coriandertray
--- a/src/libs/entry_host/host_settings.h
+++ b/src/libs/entry_host/host_settings.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "allocation/retry_window.h"
+#include "membership/view_relays.h"
 #include "utils/address.h"
 #include "utils/clock.h"
 
@@ -31,6 +32,7 @@
   /// Time after SIGTERM within which the process exits.
   duration GracePeriod = seconds(6);
   retry_limits Retries;
+  relay_policy Relays;
   bool operator==(const host_settings &) const = default;
 };
 
--- a/src/libs/entry_host/peer_network.cpp
+++ b/src/libs/entry_host/peer_network.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <ranges>
 
 namespace coriandertray {
 
@@ -23,6 +24,8 @@
 constexpr std::size_t RankCount = 4;
 // Links are kept to this many of the hosts ranked for each duty.
 constexpr std::size_t LinkedRankCount = 3;
+// Links are kept to this many of the relays.
+constexpr std::size_t LinkedRelayCount = 2;
 // A host with less than this share of the largest capacity gets no duty.
 constexpr double MinCapacityShare = 0.7;
 // A host whose view is older than this host's by more than this is considered
@@ -40,8 +43,9 @@
 } // namespace
 
 peer_network::peer_network(asio::io_context &Context, const clock_source &Clock,
-                           std::string Self)
-    : Context(Context), Clock(Clock), Self(std::move(Self)) {}
+                           std::string Self, relay_policy RelayPolicy)
+    : Context(Context), Clock(Clock), Self(std::move(Self)),
+      RelayPolicy(RelayPolicy) {}
 
 result<void> peer_network::start(const socket_address &Address,
                                  message_handler OnMessage) {
@@ -73,10 +77,20 @@
   for (const fleet_member &Member : Members)
     if (Member.CapacityMillicores >= MinCapacityShare * Largest)
       EligibleHosts.push_back(Member.Host);
+  chooseRelays();
   logEvent(log_level::Info, "members-changed", {{"count", Members.size()}});
   reassignDuties();
 }
 
+void peer_network::chooseRelays() {
+  const auto Own = std::ranges::find(Members, Self, &fleet_member::Host);
+  const std::set<std::string> Eligible(EligibleHosts.begin(),
+                                       EligibleHosts.end());
+  Relays = Own == Members.end()
+               ? std::vector<std::string>()
+               : relaysFor(*Own, Members, Eligible, RelayPolicy);
+}
+
 void peer_network::setDuties(std::set<std::string> Next) {
   Next.emplace(ReaderDuty);
   if (Next == Duties)
@@ -122,6 +136,12 @@
   return true;
 }
 
+std::string peer_network::hostAt(const link_pointer &Link) const {
+  const auto Found = std::ranges::find_if(
+      Peers, [&Link](const auto &Entry) { return Entry.second.Link == Link; });
+  return Found == Peers.end() ? std::string() : Found->first;
+}
+
 void peer_network::dropLink(const std::string &Host) {
   const auto Found = Peers.find(Host);
   if (Found == Peers.end() || !Found->second.Link)
@@ -196,6 +216,8 @@
     LinkedHosts.insert(Ranks.begin(),
                        Ranks.begin() + static_cast<std::ptrdiff_t>(Count));
   }
+  for (const std::string &Relay : Relays | std::views::take(LinkedRelayCount))
+    LinkedHosts.insert(Relay);
   LinkedHosts.erase(Self);
   for (const fleet_member &Member : Members) {
     if (!LinkedHosts.contains(Member.Host))
--- a/src/libs/entry_host/peer_network.h
+++ b/src/libs/entry_host/peer_network.h
@@ -8,6 +8,7 @@
 
 #include "discovery/backend_registration.h"
 #include "membership/duty_assignment.h"
+#include "membership/view_relays.h"
 #include "utils/clock.h"
 #include "wire/frame_link.h"
 
@@ -37,7 +38,7 @@
       std::function<void(const link_pointer &, const envelope &)>;
 
   peer_network(asio::io_context &Context, const clock_source &Clock,
-               std::string Self);
+               std::string Self, relay_policy RelayPolicy);
 
   /// Accepts links at \p Address and starts maintaining those to other hosts.
   /// Passes every message except pings and leaving notices to \p Handler.
@@ -74,6 +75,16 @@
   /// \returns the link to \p Host, or null.
   [[nodiscard]] link_pointer linkTo(const std::string &Host) const;
 
+  /// \returns the host at the other end of \p Link, or an empty string if this
+  /// host didn't open it.
+  [[nodiscard]] std::string hostAt(const link_pointer &Link) const;
+
+  /// \returns the hosts that pass the view of the platform on to this one, in
+  /// order of preference. Empty if it gets the view from the reader.
+  [[nodiscard]] const std::vector<std::string> &relays() const {
+    return Relays;
+  }
+
   /// Closes the link to \p Host after a message to it went unanswered.
   void dropLink(const std::string &Host);
 
@@ -93,6 +104,7 @@
 
   asio::awaitable<void> maintainLinksLoop();
   void reassignDuties();
+  void chooseRelays();
   void maintainLinks();
   asio::awaitable<void> connectTo(fleet_member Member);
   asio::awaitable<void> sendPing(std::string Host, link_pointer Link);
@@ -102,10 +114,12 @@
   asio::io_context &Context;
   const clock_source &Clock;
   std::string Self;
+  relay_policy RelayPolicy;
   message_handler Handler;
   std::function<duration()> OwnViewAge;
   std::vector<fleet_member> Members;
   std::vector<std::string> EligibleHosts;
+  std::vector<std::string> Relays;
   std::set<std::string> Duties = {std::string(ReaderDuty)};
   duty_assignment Assignment;
   std::map<std::string, peer> Peers;
--- a/tests/auto/entry_host/fleet_fixture.h
+++ b/tests/auto/entry_host/fleet_fixture.h
@@ -233,7 +233,8 @@
 
 class fleet_fixture {
 public:
-  explicit fleet_fixture(int Hosts = 1) {
+  explicit fleet_fixture(int Hosts = 1, relay_policy Relays = {})
+      : Relays(Relays) {
     static const bool Quiet = [] {
       startLogging("test", "", log_level::Error);
       return true;
@@ -362,6 +363,8 @@
   std::vector<std::unique_ptr<entry_host>> Hosts;
 
 private:
+  relay_policy Relays;
+
   void addHost(int Number) {
     host_settings Settings;
     const std::string Ip = listenAddress(Number).Ip;
@@ -374,6 +377,7 @@
     Settings.Metrics = {Ip, 18'203};
     Settings.Retries = {0.2, seconds(10), 60};
     Settings.GracePeriod = seconds(1);
+    Settings.Relays = Relays;
     PlatformConnections.push_back(
         std::make_unique<platform_connection>(Platform));
     Hosts.push_back(std::make_unique<entry_host>(
