--- a/scripts/lib/mutants.py
+++ b/scripts/lib/mutants.py
@@ -32,6 +32,10 @@
 CLIENT = "src/libs/http/http_client.cpp"
 CLAIMS = "src/libs/claims/claim_shard.cpp"
 STATE = "src/libs/balancing/backend_state.cpp"
+HOST = "src/libs/entry_host/entry_host.cpp"
+REPORT = "src/libs/allocation/backend_report.cpp"
+ALLOCATOR = "src/libs/allocation/slot_allocator.cpp"
+STORE = "platform/object_store.cpp"
 
 MUTANTS = [
     Mutant("the judge and the proxies forget the floor", [
@@ -42,12 +46,33 @@
     ], proofs=[("floor", "most-servers-sick")],
         tests=["tst_outlier_detection", "tst_balancing"]),
     Mutant("a swapped answer is taken for one's own", [
-        (CLIENT, "if (matchesRequestId(", "if (true || matchesRequestId("),
+        (CLIENT, "if (Match == request_id_match::Matches)", "if (true)"),
     ], proofs=[("answers", "swapped")], tests=["tst_http"]),
     Mutant("a cut answer is passed on as whole", [
         (CLIENT, "  if (ReadFailure) {",
          "  if (ReadFailure && ReadFailure != http::error::partial_message) {"),
-    ], tests=["tst_http"]),
+    ], tests=["tst_http", "tst_cut_responses"]),
+    Mutant("a response without an id is believed", [
+        (HOST, "Limits.RequireRequestId = true;", ""),
+    ], tests=["tst_entry_host"]),
+    Mutant("a host forgets that a server leaves", [
+        (REPORT, "(!Known.Leaving && Now >= Known.HeldUntil)",
+         "Now >= Known.HeldUntil"),
+        (ALLOCATOR, "Backend.Leaving || Release.Report->Leaving", "false"),
+    ], tests=["tst_backend_report", "tst_entry_host"]),
+    Mutant("a host comes back to a server too early", [
+        (REPORT, "(!Known.Leaving && Now >= Known.HeldUntil)",
+         "!Known.Leaving"),
+        (ALLOCATOR, "Now + Release.Report->HoldOff", "Now"),
+    ], tests=["tst_backend_report", "tst_entry_host"]),
+    Mutant("one odd entry hides the list", [
+        (STORE, "parseJsonLeniently(Result.Response.Body, PartDepth)",
+         "parseJson(Result.Response.Body)"),
+    ], tests=["tst_odd_entries"]),
+    Mutant("a new allocator takes its servers for used", [
+        (ALLOCATOR, "  if (State.FirstBackendListAt)\n    Record.LastGrantAt",
+         "  Record.LastGrantAt"),
+    ], tests=["tst_allocation"]),
     Mutant("a lost or late request is called not run", [
         (CLIENT, "Status == call_status::NotSent;",
          "Status == call_status::NotSent || Status == call_status::Lost ||"
@@ -96,7 +121,7 @@
 
 def copy_sources():
     COPY_DIR.mkdir(exist_ok=True)
-    for name in ("src", "tests", "CMakeLists.txt"):
+    for name in ("src", "platform", "tests", "CMakeLists.txt"):
         target = COPY_DIR / name
         if target.is_dir():
             shutil.rmtree(target)
--- a/tests/auto/allocation/tst_rate_limit.cpp
+++ b/tests/auto/allocation/tst_rate_limit.cpp
@@ -219,7 +219,7 @@
 }
 
 TEST_CASE("several allocators of one pool stay within the limit together") {
-  rc::check("for random limits and takeovers", [] {
+  const bool Holds = rc::check("for random limits and takeovers", [] {
     const double RequestsPerSecond = *rc::gen::inRange(1, 200) / 10.0;
     constexpr std::size_t HostCount = 5;
     constexpr int Steps = 3000;
@@ -254,4 +254,5 @@
     const std::size_t Most = mostInWindow(Starts, time_point());
     RC_ASSERT(Most <= mostAllowed(RequestsPerSecond));
   });
+  CHECK(Holds);
 }
--- a/tests/auto/allocation/tst_slot_allocator.cpp
+++ b/tests/auto/allocation/tst_slot_allocator.cpp
@@ -279,7 +279,7 @@
 }
 
 TEST_CASE("retries in any window stay within the budget") {
-  rc::check("for random arrivals", [] {
+  const bool Holds = rc::check("for random arrivals", [] {
     const retry_limits Limits = {0.2, seconds(10), 20};
     retry_window Window;
     time_point Now{std::chrono::hours(1)};
@@ -302,6 +302,7 @@
       RC_ASSERT(double(InWindow(Retries)) <= Allowed);
     }
   });
+  CHECK(Holds);
 }
 
 TEST_CASE("hosts that allocate for themselves stay within the shared budget") {
@@ -327,40 +328,43 @@
 }
 
 TEST_CASE("a server never has more leases than slots") {
-  rc::check("for random events, and no request is granted twice", [] {
-    slot_allocator State;
-    time_point Now{std::chrono::hours(1)};
-    setBackends(State, makeServers(4, 0), Now);
-    std::set<std::uint64_t> Open;
-    std::uint64_t NextId = 1;
-    const auto HandleAnswer = [&](const slot_answer &Answer) {
-      if (Answer.Verdict == slot_verdict::Granted)
-        RC_ASSERT(Open.insert(Answer.Key.Id).second);
-    };
-    for (int Step = 0; Step < 300; ++Step) {
-      Now += milliseconds(*rc::gen::inRange(0, 60));
-      const int Kind = *rc::gen::inRange(0, 10);
-      if (Kind < 5) {
-        slot_request Request =
-            makeRequest(NextId++, Now, *rc::gen::arbitrary<bool>());
-        Request.Priority = *rc::gen::inRange(0U, 3U);
-        HandleAnswer(requestSlot(State, Request, Now));
-      } else if (Kind < 8 && !Open.empty()) {
-        const std::uint64_t Id = *Open.begin();
-        Open.erase(Open.begin());
-        const auto Outcome = static_cast<slot_outcome>(
-            *rc::gen::inRange(0, static_cast<int>(slot_outcome::NotUsed) + 1));
-        releaseSlot(State, {{"host", Id}, Outcome, milliseconds(100)}, Now);
-      } else if (Kind == 8) {
-        const int Count = *rc::gen::inRange(0, 6);
-        setBackends(State, makeServers(Count, *rc::gen::inRange(0, 3)), Now);
-      }
-      for (const slot_answer &Answer : processQueue(State, Now))
-        HandleAnswer(Answer);
-      for (const auto &[Name, Backend] : State.Backends)
-        RC_ASSERT(Backend.Leases.size() <= Backend.Registration.Slots);
-    }
-  });
+  const bool Holds =
+      rc::check("for random events, and no request is granted twice", [] {
+        slot_allocator State;
+        time_point Now{std::chrono::hours(1)};
+        setBackends(State, makeServers(4, 0), Now);
+        std::set<std::uint64_t> Open;
+        std::uint64_t NextId = 1;
+        const auto HandleAnswer = [&](const slot_answer &Answer) {
+          if (Answer.Verdict == slot_verdict::Granted)
+            RC_ASSERT(Open.insert(Answer.Key.Id).second);
+        };
+        for (int Step = 0; Step < 300; ++Step) {
+          Now += milliseconds(*rc::gen::inRange(0, 60));
+          const int Kind = *rc::gen::inRange(0, 10);
+          if (Kind < 5) {
+            slot_request Request =
+                makeRequest(NextId++, Now, *rc::gen::arbitrary<bool>());
+            Request.Priority = *rc::gen::inRange(0U, 3U);
+            HandleAnswer(requestSlot(State, Request, Now));
+          } else if (Kind < 8 && !Open.empty()) {
+            const std::uint64_t Id = *Open.begin();
+            Open.erase(Open.begin());
+            const auto Outcome = static_cast<slot_outcome>(*rc::gen::inRange(
+                0, static_cast<int>(slot_outcome::NotUsed) + 1));
+            releaseSlot(State, {{"host", Id}, Outcome, milliseconds(100)}, Now);
+          } else if (Kind == 8) {
+            const int Count = *rc::gen::inRange(0, 6);
+            setBackends(State, makeServers(Count, *rc::gen::inRange(0, 3)),
+                        Now);
+          }
+          for (const slot_answer &Answer : processQueue(State, Now))
+            HandleAnswer(Answer);
+          for (const auto &[Name, Backend] : State.Backends)
+            RC_ASSERT(Backend.Leases.size() <= Backend.Registration.Slots);
+        }
+      });
+  CHECK(Holds);
 }
 
 TEST_CASE("a recovered server gets requests again within two seconds") {
--- a/tests/auto/discovery/tst_backend_list_history.cpp
+++ b/tests/auto/discovery/tst_backend_list_history.cpp
@@ -32,7 +32,7 @@
 } // namespace
 
 TEST_CASE("applying a change to an older list gives the newest list") {
-  rc::check("for any sequence of lists", [] {
+  const bool Holds = rc::check("for any sequence of lists", [] {
     backend_list_history Sender;
     backend_list_history Receiver;
     const int Count = *rc::gen::inRange(1, 30);
@@ -49,6 +49,7 @@
       addVersion(Receiver, *Applied);
     }
   });
+  CHECK(Holds);
 }
 
 TEST_CASE("a change based on another list than the one held is not applied") {
--- a/tests/auto/entry_host/tst_slot_wire.cpp
+++ b/tests/auto/entry_host/tst_slot_wire.cpp
@@ -61,7 +61,7 @@
 
 TEST_CASE(
     "a corrupted frame decodes to an envelope or fails with FrameMalformed") {
-  rc::check("corrupted frames never crash", [] {
+  const bool Holds = rc::check("corrupted frames never crash", [] {
     envelope Message;
     slot_request Request;
     Request.Key = {"host", 1};
@@ -75,4 +75,5 @@
     if (!Decoded)
       RC_ASSERT(Decoded.error().Code == error_code::FrameMalformed);
   });
+  CHECK(Holds);
 }
--- a/tests/auto/membership/tst_duty_assignment.cpp
+++ b/tests/auto/membership/tst_duty_assignment.cpp
@@ -27,7 +27,7 @@
 } // namespace
 
 TEST_CASE("no host is first candidate for more than its even share of duties") {
-  rc::check("for any numbers of duties and hosts", [] {
+  const bool Holds = rc::check("for any numbers of duties and hosts", [] {
     const int DutyCount = *rc::gen::inRange(1, 40);
     const int HostCount = *rc::gen::inRange(1, 40);
     const duty_assignment Assignment =
@@ -47,6 +47,7 @@
     for (const auto &[Host, Count] : PrimariesPerHost)
       RC_ASSERT(Count <= Share);
   });
+  CHECK(Holds);
 }
 
 TEST_CASE("few duties of the remaining hosts move when a host leaves") {
--- a/tests/auto/platform/tst_decoding.cpp
+++ b/tests/auto/platform/tst_decoding.cpp
@@ -99,21 +99,23 @@
 }
 
 TEST_CASE("corrupted documents never crash the decoders") {
-  rc::check("decoding returns a value or AnswerMalformed", [] {
-    json::value Config = parse(ConfigText);
-    json::value Backend = parse(BackendText);
-    const auto Count = *rc::gen::inRange(1, 4);
-    for (int Index = 0; Index < Count; ++Index) {
-      corrupt(Config, *rc::gen::arbitrary<std::uint32_t>());
-      corrupt(Backend, *rc::gen::arbitrary<std::uint32_t>());
-    }
-    const auto DecodedConfig = platform::decodeConfig(Config);
-    const auto DecodedBackend = decodeBackend(Backend);
-    if (!DecodedConfig)
-      RC_ASSERT(DecodedConfig.error().Code == error_code::AnswerMalformed);
-    if (!DecodedBackend)
-      RC_ASSERT(DecodedBackend.error().Code == error_code::AnswerMalformed);
-  });
+  const bool Holds =
+      rc::check("decoding returns a value or AnswerMalformed", [] {
+        json::value Config = parse(ConfigText);
+        json::value Backend = parse(BackendText);
+        const auto Count = *rc::gen::inRange(1, 4);
+        for (int Index = 0; Index < Count; ++Index) {
+          corrupt(Config, *rc::gen::arbitrary<std::uint32_t>());
+          corrupt(Backend, *rc::gen::arbitrary<std::uint32_t>());
+        }
+        const auto DecodedConfig = platform::decodeConfig(Config);
+        const auto DecodedBackend = decodeBackend(Backend);
+        if (!DecodedConfig)
+          RC_ASSERT(DecodedConfig.error().Code == error_code::AnswerMalformed);
+        if (!DecodedBackend)
+          RC_ASSERT(DecodedBackend.error().Code == error_code::AnswerMalformed);
+      });
+  CHECK(Holds);
 }
 
 TEST_CASE("a host's object decodes to the member that was encoded") {
--- a/tests/auto/routing/tst_route_index.cpp
+++ b/tests/auto/routing/tst_route_index.cpp
@@ -46,23 +46,25 @@
 }
 
 TEST_CASE("a traffic split keeps its weights over all hosts together") {
-  rc::check("shares lie within two percentage points of the weights", [] {
-    const auto First = *rc::gen::inRange<std::uint32_t>(1, 100);
-    const auto Second = *rc::gen::inRange<std::uint32_t>(1, 100);
-    routing_config Config;
-    Config.Routes = {makeRoute("split", "a.example", "/",
-                               {{"one", First}, {"two", Second}})};
-    std::map<std::string, int> Count;
-    constexpr int Hosts = 30;
-    constexpr int RequestsEach = 40;
-    for (int Host = 0; Host < Hosts; ++Host) {
-      route_index Index(Config, static_cast<std::uint64_t>(Host));
-      const route_rule *Route = Index.match("a.example", "/x");
-      for (int Request = 0; Request < RequestsEach; ++Request)
-        ++Count[Index.nextService(*Route)];
-    }
-    const double Share = Count["one"] / double(Hosts * RequestsEach);
-    const double Weight = First / double(First + Second);
-    RC_ASSERT(std::abs(Share - Weight) < 0.02);
-  });
+  const bool Holds =
+      rc::check("shares lie within two percentage points of the weights", [] {
+        const auto First = *rc::gen::inRange<std::uint32_t>(1, 100);
+        const auto Second = *rc::gen::inRange<std::uint32_t>(1, 100);
+        routing_config Config;
+        Config.Routes = {makeRoute("split", "a.example", "/",
+                                   {{"one", First}, {"two", Second}})};
+        std::map<std::string, int> Count;
+        constexpr int Hosts = 30;
+        constexpr int RequestsEach = 40;
+        for (int Host = 0; Host < Hosts; ++Host) {
+          route_index Index(Config, static_cast<std::uint64_t>(Host));
+          const route_rule *Route = Index.match("a.example", "/x");
+          for (int Request = 0; Request < RequestsEach; ++Request)
+            ++Count[Index.nextService(*Route)];
+        }
+        const double Share = Count["one"] / double(Hosts * RequestsEach);
+        const double Weight = First / double(First + Second);
+        RC_ASSERT(std::abs(Share - Weight) < 0.02);
+      });
+  CHECK(Holds);
 }
