Fleet view: Push changes of a long list less often

Cause: since the reader waits at the store for changes, it pushed up to every 60 ms during a release of many servers.

Change: the time between two pushes rises with the length of the list, to 243 ms for 809 servers.

--- a/src/libs/entry_host/fleet_view.cpp
+++ b/src/libs/entry_host/fleet_view.cpp
@@ -19,8 +19,11 @@
 // The reader waits this long for a change of the backend servers. It then tells
 // its subscribers that there was none.
 constexpr duration BackendsWatchTimeout = milliseconds(400);
-// Changes that follow each other within this time are pushed together.
-constexpr duration BackendsPushInterval = milliseconds(60);
+// Changes that follow each other within this time are pushed together. Each
+// push costs a host time in proportion to the length of the list.
+constexpr duration MinBackendsPushInterval = milliseconds(60);
+constexpr duration BackendsPushIntervalPerServer =
+    std::chrono::microseconds(300);
 // How often a host that reads the platform only for itself does so.
 constexpr duration ReadInterval = milliseconds(400);
 // How often a host checks whether its view is stale.
@@ -145,6 +148,12 @@
   return AwaitsFirstData ? FirstTickInterval : TickInterval;
 }
 
+duration fleet_view::backendsPushInterval() const {
+  return std::max<duration>(MinBackendsPushInterval,
+                            BackendsPushIntervalPerServer *
+                                Directory.Backends.size());
+}
+
 duration fleet_view::directoryAge() const {
   return Clock.now() - Directory.ConfirmedAt.value_or(StartedAt);
 }
@@ -239,9 +248,12 @@
       co_await Timer.async_wait(UseTuple);
       continue;
     }
+    const time_point RequestedAt = Clock.now();
     const bool Answered = co_await readBackends();
-    Timer.expires_after(Answered && readsForOthers() ? BackendsPushInterval
-                                                     : readInterval());
+    if (Answered && readsForOthers())
+      Timer.expires_at(RequestedAt + backendsPushInterval());
+    else
+      Timer.expires_after(readInterval());
     co_await Timer.async_wait(UseTuple);
   }
 }
--- a/src/libs/entry_host/fleet_view.h
+++ b/src/libs/entry_host/fleet_view.h
@@ -114,6 +114,7 @@
   [[nodiscard]] duration subscribeInterval() const;
   [[nodiscard]] duration readInterval() const;
   [[nodiscard]] duration tickInterval() const;
+  [[nodiscard]] duration backendsPushInterval() const;
   [[nodiscard]] duration directoryAge() const;
   [[nodiscard]] duration configAge() const;
   [[nodiscard]] duration membersAge() const;
