--- a/src/libs/entry_host/fleet_view.cpp
+++ b/src/libs/entry_host/fleet_view.cpp
@@ -38,8 +38,6 @@
 // Minimum read interval of hosts other than the reader while the platform is
 // unreachable.
 constexpr duration OutageReadInterval = milliseconds(1500);
-constexpr duration JoinCheckInterval = milliseconds(400);
-constexpr int JoinCheckCount = 3;
 // A host whose view is older than StaleAfter subscribes to the backup readers;
 // one whose view is older than DirectReadAge reads the platform itself. The
 // spread delays these reads by a different time on each host, up to
@@ -50,26 +48,9 @@
 // A host reports a route as unknown only if its configuration was confirmed
 // within this time.
 constexpr duration ConfigConfirmationMaxAge = milliseconds(2500);
-constexpr duration MembersInterval = seconds(4);
-constexpr duration InitialMembersInterval = seconds(1);
 constexpr duration ReregisterInterval = seconds(1);
-constexpr duration MembersSettleTime = seconds(4);
 // Age of a member list that was never read.
 constexpr duration NeverReadAge = seconds(3600);
-// The reader removes a host that it has not heard from for this long.
-constexpr duration UnresponsiveRemovalTime = seconds(20);
-
-template <typename T> std::optional<error> failureOf(const result<T> &Result) {
-  return Result ? std::nullopt : std::optional<error>(Result.error());
-}
-
-std::uint64_t memberListVersion(const std::vector<fleet_member> &Members) {
-  std::uint64_t Hash = 1;
-  for (const fleet_member &Member : Members)
-    Hash = stableHash(Member.Host + toString(Member.Address) + Member.Zone,
-                      Hash + Member.CapacityMillicores);
-  return Hash;
-}
 
 } // namespace
 
@@ -109,27 +90,6 @@
   }
 }
 
-// Hosts that start together also register together, so only a second read of
-// the member list shows all of them.
-asio::awaitable<void> fleet_view::join() {
-  if (std::exchange(Joining, true))
-    co_return;
-  asio::steady_timer Timer(Context);
-  co_await readMembers(true);
-  if (!Registered) {
-    const result<void> Added = co_await Platform.addMember(Self);
-    recordPlatformResult(failureOf(Added));
-    // A list without this host is older than its registration.
-    for (int Check = 0; Check < JoinCheckCount && !Registered; ++Check) {
-      Timer.expires_after(JoinCheckInterval);
-      co_await Timer.async_wait(UseTuple);
-      co_await readMembers(Check + 1 < JoinCheckCount);
-    }
-  }
-  Joining = false;
-  FirstJoinFinished = true;
-}
-
 void fleet_view::recordPlatformResult(const std::optional<error> &Failure) {
   // A report of a missing object also shows that the platform is reachable.
   const bool Answered = !Failure || Failure->Code == error_code::ObjectMissing;
@@ -258,35 +218,6 @@
   }
 }
 
-void fleet_view::applyMembers(std::vector<fleet_member> Listed) {
-  Registered = std::ranges::find(Listed, Self) != Listed.end();
-  replaceMembers(Members, std::move(Listed), Clock.now());
-  MembersVersion = memberListVersion(Members.Listed);
-  updatePeers();
-}
-
-void fleet_view::updatePeers() {
-  std::vector<fleet_member> Current = currentMembers(Members, Clock.now());
-  std::erase_if(Current, [this](const fleet_member &Member) {
-    return Member.Host == Self.Host;
-  });
-  Current.push_back(Self);
-  std::ranges::sort(Current);
-  Peers.setMembers(std::move(Current));
-}
-
-asio::awaitable<void> fleet_view::readMembers(bool AllowStale) {
-  const time_point RequestedAt = Clock.now();
-  MembersRequestedAt = RequestedAt;
-  result<std::vector<fleet_member>> Listed =
-      co_await Platform.readMembers(AllowStale);
-  recordPlatformResult(failureOf(Listed));
-  if (!Listed)
-    co_return;
-  MembersReadAt = RequestedAt;
-  applyMembers(std::move(*Listed));
-}
-
 void fleet_view::confirmConfig(time_point At) {
   ConfigConfirmedAt = std::max(At, ConfigConfirmedAt.value_or(At));
 }
@@ -373,29 +304,6 @@
   }
 }
 
-asio::awaitable<void> fleet_view::removeUnresponsiveMembers() {
-  const time_point Now = Clock.now();
-  std::erase_if(HeardAt, [Now](const auto &Entry) {
-    return Now - Entry.second > UnresponsiveRemovalTime;
-  });
-  std::vector<std::string> Unresponsive;
-  for (const fleet_member &Member : Peers.members()) {
-    const bool Responsive =
-        Member.Host == Self.Host || heardRecently(Member.Host);
-    if (Responsive)
-      UnheardSince.erase(Member.Host);
-    else if (Now - UnheardSince.emplace(Member.Host, Now).first->second >
-             UnresponsiveRemovalTime)
-      Unresponsive.push_back(Member.Host);
-  }
-  for (const std::string &Host : Unresponsive) {
-    UnheardSince.erase(Host);
-    logEvent(log_level::Info, "member-removed", {{"member", Host}});
-    const result<void> Removed = co_await Platform.removeMember(Host);
-    recordPlatformResult(failureOf(Removed));
-  }
-}
-
 asio::awaitable<void> fleet_view::tickLoop() {
   asio::steady_timer Timer(Context);
   for (;;) {
@@ -421,16 +329,6 @@
     asio::co_spawn(Context, join(), asio::detached);
 }
 
-void fleet_view::maintainMembers() {
-  const time_point Now = Clock.now();
-  const bool Settled = Now - ReaderSince > MembersSettleTime;
-  const duration Interval = Settled ? MembersInterval : InitialMembersInterval;
-  if (Now - MembersRequestedAt >= Interval)
-    asio::co_spawn(Context, readMembers(Settled), asio::detached);
-  if (Now - ReaderSince > UnresponsiveRemovalTime)
-    asio::co_spawn(Context, removeUnresponsiveMembers(), asio::detached);
-}
-
 json::object fleet_view::dump() const {
   return {{"complete", isComplete()},
           {"age_ms", toMilliseconds(age())},
--- a/src/libs/utils/error.h
+++ b/src/libs/utils/error.h
@@ -5,6 +5,7 @@
 #include <tl/expected.hpp>
 
 #include <compare>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -62,4 +63,10 @@
   return tl::unexpected<error>(error{Code, std::move(Detail)});
 }
 
+/// \returns the error of \p Result, or nothing if it holds a value.
+template <typename T>
+[[nodiscard]] std::optional<error> failureOf(const result<T> &Result) {
+  return Result ? std::nullopt : std::optional<error>(Result.error());
+}
+
 } // namespace coriandertray
