--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -32,6 +32,11 @@
         self.responses = {}
         # The framing of each response, and whether it was truncated.
         self.framings = {}
+        # (time, request id, server) of each response that said that the server
+        # leaves.
+        self.leaving = []
+        # (time, request id, server, seconds) of each 503 with Retry-After.
+        self.hold_offs = []
 
     def record_arrival(self, request, server, ran):
         self.arrivals.append((time.monotonic(), request.header("x-request-id"),
@@ -42,8 +47,9 @@
     """One incarnation of a backend server, behind its own link.
 
     `modes` holds the share of requests that each gray failure affects: slow,
-    hang, errors, reset, mute (no response), shed, truncate or extra (a second
-    response).
+    hang, errors, reset, mute (no response), shed, hold (shed with Retry-After),
+    truncate, cut_head, extra (a second response) or repeat (the last refusal
+    once more, for a request that runs).
     """
 
     def __init__(self, soak, name, service, zone, listen_address, link_address):
@@ -98,8 +104,13 @@
         if self.state == "draining" and self.drain_acknowledged is None:
             self.drain_acknowledged = time.monotonic()
 
-    def load_header(self):
-        return {"X-Server-Load": f"{self.running},{self.queued},{SLOTS}"}
+    def status_headers(self, request_id):
+        headers = {"X-Server-Load": f"{self.running},{self.queued},{SLOTS}"}
+        if self.state == "draining":
+            headers["Server-Leaving"] = "1"
+            self.soak.execution_log.leaving.append(
+                (time.monotonic(), request_id, self))
+        return headers
 
     def draw_fault(self, mode):
         """Draws whether a gray failure affects this request."""
@@ -107,11 +118,19 @@
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
+        last_refusal = None
         try:
             while self.alive:
                 request = await messages.read_message(reader)
-                if request is None or not await self.handle(request, reader,
-                                                            writer):
+                if request is None:
+                    break
+                if last_refusal and self.draw_fault("repeat"):
+                    writer.write(last_refusal)
+                refusal = self.refuse(request)
+                if refusal:
+                    writer.write(refusal)
+                    last_refusal = refusal
+                elif not await self.handle(request, reader, writer):
                     break
         except (messages.MessageError, ConnectionError, asyncio.CancelledError):
             pass
@@ -119,26 +138,35 @@
             self.writers.discard(writer)
             writer.close()
 
-    def make_not_executed(self, request, status):
+    def make_not_executed(self, request, status, hold_off_s=None):
         """A response that says that the request was not executed."""
         self.soak.execution_log.record_arrival(request, self, False)
-        headers = {"X-Not-Executed": "1", **self.load_header()}
-        if request.header("x-request-id"):
-            headers["X-Request-Id"] = request.header("x-request-id")
+        request_id = request.header("x-request-id")
+        headers = {"X-Not-Executed": "1", **self.status_headers(request_id)}
+        if request_id:
+            headers["X-Request-Id"] = request_id
+        if hold_off_s is not None:
+            headers["Retry-After"] = f"{hold_off_s:.2f}"
+            self.soak.execution_log.hold_offs.append(
+                (time.monotonic(), request_id, self, hold_off_s))
         return messages.make_response(status, b"{}", headers)
 
-    async def handle(self, request, reader, writer):
-        """Answers a request; returns whether the connection stays open."""
+    def refuse(self, request):
+        """Returns the refusal of a request, or None if it is to be run."""
         target = request.header("x-target-instance")
         if not request.header("x-request-id"):
-            writer.write(self.make_not_executed(request, 400))
-            return True
+            return self.make_not_executed(request, 400)
         if target and target != self.name:
-            writer.write(self.make_not_executed(request, 421))
-            return True
+            return self.make_not_executed(request, 421)
+        if self.draw_fault("hold"):
+            return self.make_not_executed(
+                request, 503, self.soak.random.uniform(0.8, 3.0))
         if self.queued >= QUEUE_LIMIT or self.draw_fault("shed"):
-            writer.write(self.make_not_executed(request, 503))
-            return True
+            return self.make_not_executed(request, 503)
+        return None
+
+    async def handle(self, request, reader, writer):
+        """Runs a request; returns whether the connection stays open."""
         self.queued += 1
         try:
             await self.slot.acquire()
@@ -194,7 +222,7 @@
     def make_signed_response(self, request_id, status, body, framing="length"):
         headers = {"X-Request-Id": request_id, "Keep-Alive": "timeout=5",
                    "X-Response-Signature": signature(request_id, self.name),
-                   **self.load_header()}
+                   **self.status_headers(request_id)}
         self.soak.execution_log.responses.setdefault(request_id, []).append(
             (status, signature(request_id, self.name), body))
         return messages.make_response(status, body, headers, framing)
@@ -205,6 +233,10 @@
             ["length", "length", "length", "chunked", "close"])
         data = self.make_signed_response(request_id, 200, body, framing)
         self.soak.execution_log.framings[request_id] = framing
+        if self.draw_fault("cut_head"):
+            head_bytes = data.index(b"\r\n\r\n")
+            writer.write(data[:self.soak.random.randrange(1, head_bytes)])
+            return False
         if self.draw_fault("truncate"):
             self.soak.execution_log.framings[request_id] += ", cut"
             writer.write(data[:-max(1, len(data) // 3)])
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -7,9 +7,11 @@
 UNASKED  a server got a request that no caller sent, or an altered one
 ROUTE    a request reached a service that no configuration routed it to
 TWICE    a request that must not be repeated was executed more than once
-BUDGET   requests were retried more often than the retry budget allows
+BUDGET   requests were retried more often than the retry budget allows, or
+         reached a server that wanted none from that host
 LOST     a host that was stopped or reloaded dropped a request
-DRAIN    a server got a request too long after its drain signal
+DRAIN    a server got a request too long after its drain signal, or from a
+         host that it had told that it leaves
 LATE     a call took too long at a host without faults
 RECOVER  too few calls succeeded after the faults
 MEMORY   a host used too much memory
@@ -30,6 +32,10 @@
 # Time after a drain signal in which a server may still get requests.
 DRAIN_LIMIT_S = 2.0
 DRAIN_SLACK_S = 0.3
+# A request may cross the refusal that names a Retry-After for this long.
+HOLD_OFF_SLACK_S = 0.5
+# Requests that may reach a server while it wants none from the host.
+HOLD_OFF_LIMIT = 2
 # Time after which a configuration change must be in use.
 CONFIG_LIMIT_S = 2.0
 # Time past its deadline in which a call must end.
@@ -71,8 +77,10 @@
         self.check_executions(by_id, executions)
         self.check_retry_budget(by_id)
         self.check_graceful_stop(calls, executions)
+        self.check_hold_offs(by_id)
         if with_timing:
             self.check_draining(by_id)
+            self.check_leaving(by_id)
             self.check_latency(calls)
             self.check_recovery(calls)
 
@@ -183,6 +191,54 @@
                 self.fail("DRAIN", f"{request_id} reached {server.name} "
                           f"{at - since:.2f} s after it drained")
 
+    def requests_after(self, statements, by_id):
+        """Pairs each statement of a server with later requests of that host.
+
+        `statements` begin with a time, the id of the request that got the
+        response and the server. Yields each statement with the (time, call) of
+        the requests that the server got from the same process of the host,
+        unless the response may have been lost.
+        """
+        arrivals = collections.defaultdict(list)
+        for at, request_id, server, _ in self.soak.execution_log.arrivals:
+            call = by_id.get(request_id)
+            if call is not None:
+                arrivals[server, call.host, call.incarnation].append((at, call))
+        for statement in statements:
+            at, request_id, server = statement[:3]
+            call = by_id.get(request_id)
+            if call is None or self.soak.backend_had_fault(server, at,
+                                                           at + 1.0):
+                continue
+            yield statement, arrivals[server, call.host, call.incarnation]
+
+    def check_leaving(self, by_id):
+        """A host sends nothing to a server that told it that it leaves."""
+        log = self.soak.execution_log
+        for (at, request_id, server), later in self.requests_after(
+                log.leaving, by_id):
+            host = by_id[request_id].host
+            late = [call for _, call in later
+                    if call.sent > at + DRAIN_LIMIT_S + DRAIN_SLACK_S]
+            if late and not host.had_fault(at, late[0].ended):
+                self.fail("DRAIN", f"{late[0].id} reached {server.name} from "
+                          f"{host.name}, which it had told that it leaves")
+                return
+
+    def check_hold_offs(self, by_id):
+        """A host keeps to the Retry-After of a server."""
+        log = self.soak.execution_log
+        for (at, request_id, server, seconds), later in self.requests_after(
+                log.hold_offs, by_id):
+            host = by_id[request_id].host
+            early = [call for arrived, call in later
+                     if at + HOLD_OFF_SLACK_S < arrived < at + seconds]
+            if len(early) > HOLD_OFF_LIMIT and not host.had_fault(
+                    at, at + seconds):
+                self.fail("BUDGET", f"{len(early)} requests reached "
+                          f"{server.name} from {host.name} within "
+                          f"{seconds:.2f} s in which it wanted none")
+
     def check_latency(self, calls):
         """Calls at fault-free hosts must end soon after the deadline or 2 s."""
         late = [call for call in calls
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -25,7 +25,7 @@
     async def run(self, seconds):
         """Starts faults for `seconds`, then waits until all have ended."""
         end = time.monotonic() + seconds
-        tasks = []
+        tasks = [asyncio.ensure_future(self.run_misleading_servers(end))]
         while time.monotonic() < end:
             fault = self.random.choice(self.kinds)
             duration_s = min(self.random.uniform(1, 6),
@@ -40,6 +40,52 @@
             if isinstance(result, Exception):
                 raise result
 
+    async def run_misleading_servers(self, end):
+        """Makes servers send odd responses and entries, one kind at a time.
+
+        Draws from a generator of its own, so that the other faults of a seed
+        stay the same.
+        """
+        draw = random.Random(f"misleading servers of {self.soak.seed}")
+        while time.monotonic() < end:
+            await asyncio.sleep(draw.uniform(0.5, 2.0))
+            mode = draw.choice(["hold", "repeat", "cut_head", "odd_entry"])
+            duration_s = draw.uniform(1, 4)
+            if mode == "odd_entry":
+                await self.write_odd_entry(draw, duration_s)
+                continue
+            ready = self.ready_backends()
+            backends = draw.sample(ready, max(1, len(ready) // 4))
+            # A server that repeats a refusal must refuse something first.
+            modes = ["shed", "repeat"] if mode == "repeat" else [mode]
+            self.soak.log(f"{mode} at {len(backends)} servers")
+            if mode != "hold":
+                self.record_backend_faults(backends, duration_s)
+            for backend in backends:
+                backend.modes.update(dict.fromkeys(modes, 0.4))
+            await asyncio.sleep(duration_s)
+            for backend in backends:
+                for each in modes:
+                    backend.modes.pop(each, None)
+
+    async def write_odd_entry(self, draw, duration_s):
+        """Puts an entry that makes no sense beside those of the servers."""
+        deep = 1
+        for _ in range(200):
+            deep = [deep]
+        good = {"service": self.soak.services[0], "address": "127.0.0.1:9",
+                "zone": "a", "slots": 3, "state": "ready",
+                "warmup_remaining": "0ms", "sequence": 1, "born": 1}
+        name, value = draw.choice([
+            ("later", deep), ("slots", 10 ** 400), ("slots", 2 ** 32 + 1),
+            ("address", "127.0.0.1:65545"), ("address", "127.0.0.1:-9"),
+            ("zone", "\ud800"), ("zone", "x" * 1_000_000),
+            ("service", ["one"]), ("state", None)])
+        self.soak.log(f"odd entry: {name}")
+        self.soak.store.put("servers", "odd", {**good, name: value})
+        await asyncio.sleep(duration_s)
+        self.soak.store.remove("servers", "odd")
+
     def sample(self, items, share=0.3):
         """A random choice of at least one item and at most the share."""
         count = max(1, round(len(items) * self.random.uniform(0.05, share)))
