--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -274,6 +274,9 @@
         self.waiting = 0
         self.free = asyncio.Semaphore(slots)
         self.server = None
+        self.beats = None
+        # When its entry was removed from the store, if it was.
+        self.gone_at = None
         # (time, id, request) of each arrival, and of each run.
         self.arrivals = []
         self.runs = []
@@ -281,7 +284,8 @@
     async def start(self):
         self.server = await asyncio.start_server(
             self.serve, *split_address(self.address), limit=1 << 20)
-        self.deployment.tasks.append(asyncio.ensure_future(self.beat()))
+        self.beats = asyncio.ensure_future(self.beat())
+        self.deployment.tasks.append(self.beats)
 
     async def beat(self):
         while True:
