Review: a leaving host drops pipelined requests it passed on (case 5)

After SIGTERM the first answer on a connection closes it, and the requests behind it, which are at work at backends, get no answer.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Plays the case; exits with 1 if the rule was broken, 0 if it held, 2 if the
+# case could not run. TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")" || exit 2
+exec python3 case.py
