Review: case 1 with two rolls; stand-ins that always end

A trial of case 1 had not ended: a task could miss its cancellation. The stand-ins now cancel until all are gone, with a time limit and a watchdog.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -15,8 +15,9 @@
 AT_A_TIME = 2
 GAP_S = 1.0
 RATE_PER_S = 124
-TRAFFIC_S = 16.0
-ROLL_AT_S = 4.0
+TRAFFIC_S = 40.0
+# Each host is stopped once in each of the two rolls.
+ROLLS_AT_S = (4.0, 22.0)
 TIMEOUT_S = 2.0
 DEADLINE_S = 4.0
 LOSS_SLACK_S = 0.2
@@ -49,8 +50,8 @@
     await asyncio.wait(tasks, timeout=8)
 
 
-async def roll(deployment):
-    await asyncio.sleep(ROLL_AT_S)
+async def roll(deployment, at_s):
+    await asyncio.sleep(at_s)
     hosts = list(deployment.hosts)
     tasks = []
     while hosts:
@@ -96,7 +97,7 @@
     calls = []
     tasks = [send_traffic(deployment, calls)]
     if standins.is_troubled():
-        tasks.append(roll(deployment))
+        tasks += [roll(deployment, at_s) for at_s in ROLLS_AT_S]
     await asyncio.gather(*tasks)
     answered = sum(call.outcome == "answer" for call in calls)
     deployment.record.line(f"{len(calls)} requests, {answered} answered", True)
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 # checks that they compile; it writes nothing into the repository.
 set -euo pipefail
 cd "$(dirname "$0")"
-for file in standins/*.py */case.py; do
+for file in standins/*.py */case.py trials/*.py; do
   python3 -c 'import sys; compile(open(sys.argv[1], encoding="utf-8").read(), sys.argv[1], "exec")' "$file"
 done
--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -18,7 +18,9 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
+import traceback
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -34,6 +36,10 @@
 HEARTBEAT_S = 1.5
 PAGE_ITEMS = 50
 
+# A case ends by itself within this time; the watchdog is for a case that hangs.
+PLAY_LIMIT_S = 100
+WATCHDOG_S = 115
+
 EXIT_HELD = 0
 EXIT_BROKEN = 1
 EXIT_NOT_RUN = 2
@@ -438,6 +444,8 @@
                 if not self.restarts:
                     return
                 await asyncio.sleep(0.5)
+                if not self.restarts:
+                    return
                 self.start()
                 self.deployment.record.line(f"{self.name} starts again")
             await asyncio.sleep(0.02)
@@ -568,16 +576,27 @@
             ready = nodes
         return ready[hash((client, len(ready))) % len(ready)]
 
-    async def stop(self):
+    def kill_hosts(self):
+        """Ends the processes of the hosts for good."""
         for host in self.hosts:
             host.restarts = False
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
-        for host in self.hosts:
             if host.process and host.process.poll() is None:
                 host.process.kill()
                 host.process.wait()
+
+    async def stop(self):
+        for host in self.hosts:
+            host.restarts = False
+        # A task may miss a cancellation that meets the end of its wait, so they
+        # are cancelled until they are gone.
+        pending = set(self.tasks)
+        for _ in range(20):
+            for task in pending:
+                task.cancel()
+            if pending:
+                _, pending = await asyncio.wait(pending, timeout=0.2)
+        self.kill_hosts()
+        for host in self.hosts:
             host.log.close()
         shutil.rmtree(self.folder, ignore_errors=True)
         self.record.close()
@@ -613,8 +632,9 @@
     """
     async def run():
         deployment = make_deployment()
+        start_watchdog(deployment)
         try:
-            findings = await asyncio.wait_for(play(deployment), 110)
+            findings = await asyncio.wait_for(play(deployment), PLAY_LIMIT_S)
             for each in findings[:40]:
                 deployment.record.line(f"BROKEN {each}", True)
             deployment.record.line(
@@ -624,12 +644,25 @@
         finally:
             await deployment.stop()
     try:
-        sys.exit(asyncio.run(run()))
+        code = asyncio.run(run())
     except (NotRun, OSError, asyncio.TimeoutError) as failure:
         print(f"the case could not run: {failure!r}", flush=True)
-        sys.exit(EXIT_NOT_RUN)
-    except Exception as failure:  # a fault of the case itself
-        import traceback
+        code = EXIT_NOT_RUN
+    except Exception:  # a fault of the case itself
         traceback.print_exc()
-        print(f"the case could not run: {failure!r}", flush=True)
-        sys.exit(EXIT_NOT_RUN)
+        code = EXIT_NOT_RUN
+    sys.exit(code)
+
+
+def start_watchdog(deployment):
+    """Ends a case that hangs or is stopped, and all of its processes."""
+    def end(*_):
+        print("the case could not run: it did not end", flush=True)
+        deployment.kill_hosts()
+        shutil.rmtree(deployment.folder, ignore_errors=True)
+        os._exit(EXIT_NOT_RUN)
+    watchdog = threading.Timer(WATCHDOG_S, end)
+    watchdog.daemon = True
+    watchdog.start()
+    signal.signal(signal.SIGTERM, end)
+    signal.signal(signal.SIGINT, end)
