Review: case 5 with a narrower check

Only requests behind another one, cut before the last sixth of the grace, as the rule excuses some later ones.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -75,12 +75,17 @@
     await asyncio.gather(*tasks)
 
 
-def lost(deployment, call, arrivals):
-    if call.outcome != "cut" or call.terminated_at is None or \
+def lost(call, arrivals):
+    """Whether rule LOST counts this request; returns why, or None.
+
+    Only requests behind another one, and only before the last sixth of the
+    grace period.
+    """
+    if not call.behind or call.outcome != "cut" or call.terminated_at is None or \
             call.id not in arrivals:
         return None
     ended = call.ended - call.terminated_at
-    if not 0 <= ended <= standins.GRACE_PERIOD_S + 1 or \
+    if not 0 <= ended < standins.GRACE_PERIOD_S * 5 / 6 or \
             call.ended - call.sent >= TIMEOUT_S:
         return None
     return (f"LOST {call.id}: passed on to {arrivals[call.id][1]}, its "
@@ -114,8 +119,7 @@
     for backend in deployment.backends:
         for at, request_id, _ in backend.arrivals:
             arrivals.setdefault(request_id, (at, backend.name))
-    return [why for why in (lost(deployment, call, arrivals)
-                            for call in calls) if why]
+    return [why for why in (lost(call, arrivals) for call in calls) if why]
 
 
 standins.run_case(FOLDER, lambda: standins.Deployment(FOLDER, HOSTS), play)
