Caller server: Answer all pipelined requests when a host leaves

Callers that send safe requests in a row lost all but the first when the host got SIGTERM, though these had been passed on to backend servers.

Cause: writeNextResponse() closed the connection after the next response as soon as the host was leaving, and dropped the exchanges behind it.

Change: while the host leaves, the first response that is written ends reading; what was read before is answered, and the last response closes the connection. A request that was half read at that moment is not passed on any more: its response could not have been sent.

tst_graceful_stop, both new cases red before: CHECK( Fleet.countResponses(Responses) == 3 ) values 1 == 3 REQUIRE( Backend.Requests.size() == 1 ) values 2 == 1 green now, tst_entry_host 46 of 46.

--- a/src/libs/entry_host/caller_server.cpp
+++ b/src/libs/entry_host/caller_server.cpp
@@ -52,7 +52,6 @@
   http_response Response;
   bool Ready = false;
   bool IsHead = false;
-  bool Close = false;
   std::shared_ptr<caller_connection_status> CallerStatus =
       std::make_shared<caller_connection_status>();
 };
@@ -213,6 +212,9 @@
       Failure = BodyFailure;
     }
     Receiving = false;
+    // Meanwhile a response may have announced that the connection closes.
+    if (ReadingDone)
+      co_return;
     if (Failure) {
       ReadingDone = true;
       if (isCallerError(Failure))
@@ -233,7 +235,7 @@
     }
     if (!KeepAlive)
       ReadingDone = true;
-    startExchange(Server, std::move(Request), !KeepAlive);
+    startExchange(Server, std::move(Request));
   }
 
   asio::awaitable<void> sendContinue() {
@@ -244,10 +246,9 @@
   }
 
   template <typename State>
-  void startExchange(State Server, http_request Request, bool Close) {
+  void startExchange(State Server, http_request Request) {
     auto Exchange = std::make_shared<pending_exchange>();
     Exchange->IsHead = Request.Method == "HEAD";
-    Exchange->Close = Close;
     Pending.push_back(Exchange);
     Exchange->InFlightGuard =
         std::make_unique<in_flight_guard>(Server->InFlight);
@@ -274,7 +275,6 @@
     Exchange->Response =
         jsonResponse(Status, R"({"error":"request-malformed"})");
     Exchange->Ready = true;
-    Exchange->Close = true;
     Pending.push_back(Exchange);
     StateChanged.cancel();
   }
@@ -282,7 +282,11 @@
   template <typename State>
   asio::awaitable<bool> writeNextResponse(State Server) {
     const exchange_pointer Exchange = Pending.front();
-    const bool Close = Exchange->Close || Server->Closing;
+    // Requests that were started are answered, so only the last response may
+    // close the connection.
+    if (Server->Closing)
+      ReadingDone = true;
+    const bool Close = ReadingDone && Pending.size() == 1;
     auto Message = toBeastResponse(std::move(Exchange->Response), Close);
     Stream.expires_after(WriteTimeout);
     http::response_serializer<http::string_body> Serializer(Message);
--- a/src/libs/entry_host/caller_server.h
+++ b/src/libs/entry_host/caller_server.h
@@ -36,7 +36,8 @@
   /// Applies \p Bounds to requests that begin from now on.
   void setBounds(const caller_bounds &Bounds);
 
-  /// From now on, closes each connection after the next response on it.
+  /// From now on, reads no further request on a connection once a response is
+  /// written on it, and closes it after the last request that was read.
   void closeAfterNextResponse();
 
   /// Closes the connections that have no request in progress.
--- a/tests/auto/entry_host/tst_graceful_stop.cpp
+++ b/tests/auto/entry_host/tst_graceful_stop.cpp
@@ -13,10 +13,27 @@
   return fleet_fixture::requestText("POST", "/book/x", Id);
 }
 
+std::string get(const std::string &Id) {
+  return fleet_fixture::requestText("GET", "/read/x", Id);
+}
+
 std::string idOf(const http_request &Request) {
   return findHeader(Request.Headers, TestNames.RequestId).value_or("");
 }
 
+/// Responds to r1, r2 and r3 after 100, 200 and 300 ms.
+asio::awaitable<http_response> respondInTurn(http_request Request) {
+  const std::string Id = idOf(Request);
+  co_await pauseFor(milliseconds(100) * (Id.back() - '0'));
+  co_return signedResponse(Request, 200, "body of " + Id);
+}
+
+/// Makes the first host of \p Fleet leave after \p Delay.
+asio::awaitable<void> leaveAfter(fleet_fixture &Fleet, duration Delay) {
+  co_await pauseFor(Delay);
+  Fleet.Hosts[0]->leave();
+}
+
 backend_script respondAfter(milliseconds Work) {
   return [Work](http_request Request) -> asio::awaitable<http_response> {
     co_await pauseFor(Work);
@@ -116,3 +133,54 @@
   CHECK(Refusal.find("Retry-After") != std::string::npos);
   CHECK(Backend.Requests.size() == 2);
 }
+
+// Guards against: a host that leaves closes a connection after one response and
+// drops the pipelined requests behind it that it has passed on.
+TEST_CASE("a leaving host answers all pipelined requests that it passed on") {
+  fleet_fixture Fleet;
+  scripted_backend &Backend = Fleet.addBackend(respondInTurn);
+  Fleet.addBackend(respondInTurn);
+  std::string Responses;
+  Fleet.run([&]() -> asio::awaitable<void> {
+    setGracePeriod(Fleet, GracePeriod);
+    asio::co_spawn(Fleet.Context, leaveAfter(Fleet, milliseconds(50)),
+                   asio::detached);
+    Responses =
+        co_await Fleet.sendAndReceive(get("r1") + get("r2") + get("r3"), 3);
+  });
+  CHECK(Backend.Requests.size() + Fleet.Backends[1]->Requests.size() == 3);
+  CHECK(Fleet.countResponses(Responses) == 3);
+  const std::size_t Last = Responses.find("body of r2");
+  REQUIRE(Last != std::string::npos);
+  // Only the last response announces that the connection closes.
+  CHECK(Responses.find("Connection: close") > Last);
+  CHECK(Responses.find("Connection: close") != std::string::npos);
+}
+
+// Guards against: a request that is read completely after the last response of
+// a leaving host is passed on, though its response can't be sent any more.
+TEST_CASE("a leaving host passes on nothing behind its last response") {
+  fleet_fixture Fleet;
+  scripted_backend &Backend = Fleet.addBackend(respondInTurn);
+  Fleet.run([&]() -> asio::awaitable<void> {
+    setGracePeriod(Fleet, GracePeriod);
+    const socket_address Address = fleet_fixture::listenAddress(0);
+    asio::ip::tcp::socket Socket(Fleet.Context);
+    co_await Socket.async_connect(
+        {asio::ip::make_address(Address.Ip), Address.Port},
+        asio::use_awaitable);
+    const std::string Second = get("r2");
+    const std::string Begin = get("r1") + Second.substr(0, 20);
+    const std::string Rest = Second.substr(20);
+    co_await asio::async_write(Socket, asio::buffer(Begin),
+                               asio::use_awaitable);
+    co_await pauseFor(milliseconds(50));
+    Fleet.Hosts[0]->leave();
+    // The first response, which is the last one, is written meanwhile.
+    co_await pauseFor(milliseconds(200));
+    co_await asio::async_write(Socket, asio::buffer(Rest), asio::use_awaitable);
+    co_await pauseFor(milliseconds(300));
+  });
+  REQUIRE(Backend.Requests.size() == 1);
+  CHECK(idOf(Backend.Requests.front()) == "r1");
+}
