Soak: Overlapping stops in a zone, and pipelined requests in check LOST

Its load balancer never sent a connection to a host that was not ready while another was, and check LOST left out requests behind a response that closes the connection, also those that had been passed on.

Now the load balancer goes by zones, as the platform's does, and uses all hosts of a zone of which fewer than half are ready. Each run stops all hosts of a zone but one, so that the stops overlap, while all callers are in that zone. LOST counts each request that a sound server got. The other faults of a seed stay the same.

--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -187,7 +187,9 @@
             (time.monotonic(), request, self))
         deadline_s = float(request.header("x-request-deadline", "2000")) / 1000
         random = self.soak.random
-        work_s = random.expovariate(1 / 0.05)
+        # Long enough to keep the hosts of a crowded zone busy until they exit.
+        mean_work_s = 0.15 if self.soak.crowded_zone else 0.05
+        work_s = random.expovariate(1 / mean_work_s)
         if random.random() < 0.02:
             work_s = random.uniform(0.5, 1.5)
         if self.draw_fault("slow"):
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -8,11 +8,14 @@
 import time
 
 import messages
+from hosts import ZONES
 from links import split_address
 
 # Longest idle time after which a pooled connection is used again.
 MAX_IDLE_S = 4.0
 HOST = "shop.example"
+# How many times the usual rate callers send while all are in one zone.
+CROWD_FACTOR = 4
 
 
 @dataclasses.dataclass
@@ -59,8 +62,20 @@
         self.next_id = 0
 
     def pick_host(self):
-        ready = [host for host in self.soak.hosts if host.ready]
-        return self.random.choice(ready or self.soak.hosts)
+        """The load balancer's choice for a new connection.
+
+        It uses all hosts of the caller's zone if fewer than half of them are
+        ready, and those of the other zones if none is.
+        """
+        zone = self.soak.crowded_zone or self.random.choice(ZONES)
+        in_zone = [host for host in self.soak.hosts if host.zone == zone]
+        ready = [host for host in in_zone if host.ready]
+        if not ready:
+            others = [host for host in self.soak.hosts if host.zone != zone]
+            ready = [host for host in others if host.ready] or others or in_zone
+        elif 2 * len(ready) < len(in_zone):
+            ready = in_zone
+        return self.random.choice(ready)
 
     async def connect(self, host):
         reader, writer = await asyncio.wait_for(
@@ -184,7 +199,8 @@
             task = asyncio.ensure_future(self.use_connection())
             tasks.add(task)
             task.add_done_callback(tasks.discard)
-            burst = self.soak.burst
+            burst = self.soak.burst * (
+                CROWD_FACTOR if self.soak.crowded_zone else 1)
             await asyncio.sleep(self.random.expovariate(rate * burst))
         if tasks:
             await asyncio.wait(tasks, timeout=8)
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -162,10 +162,12 @@
     def check_graceful_stop(self, calls, executions):
         """A host that is stopped or reloaded must answer what it forwarded.
 
-        Calls whose host or backend server had another fault are left out.
+        That holds for pipelined requests too, whatever the responses before
+        them said. Calls whose host or backend server had another fault are left
+        out.
         """
         for call in calls:
-            if call.outcome != "closed" or call.follows_close:
+            if call.outcome != "closed":
                 continue
             others = call.host.had_fault(call.sent - FAULT_FREE_LEAD_S,
                                          call.ended,
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -25,7 +25,8 @@
     async def run(self, seconds):
         """Starts faults for `seconds`, then waits until all have ended."""
         end = time.monotonic() + seconds
-        tasks = [asyncio.ensure_future(self.run_misleading_servers(end))]
+        tasks = [asyncio.ensure_future(each) for each in (
+            self.run_misleading_servers(end), self.run_zone_restarts(end))]
         while time.monotonic() < end:
             fault = self.random.choice(self.kinds)
             duration_s = min(self.random.uniform(1, 6),
@@ -68,6 +69,30 @@
                 for each in modes:
                     backend.modes.pop(each, None)
 
+    async def run_zone_restarts(self, end):
+        """Stops all hosts of a zone but one, so that their stops overlap.
+
+        The load balancer then sends new connections to hosts that leave, and
+        all callers are in that zone. Draws from a generator of its own, so that
+        the other faults of a seed stay the same.
+        """
+        draw = random.Random(f"zone restarts of {self.soak.seed}")
+        while time.monotonic() < end:
+            await asyncio.sleep(draw.uniform(1.0, 8.0))
+            zone = draw.choice(sorted({host.zone for host in self.soak.hosts}))
+            hosts = [host for host in self.soak.hosts if host.zone == zone]
+            draw.shuffle(hosts)
+            if len(hosts) < 3:
+                continue
+            self.soak.log(f"hosts of zone {zone} are restarted")
+            self.soak.crowded_zone = zone
+            stops = []
+            for host in hosts[1:]:
+                stops.append(asyncio.ensure_future(host.terminate()))
+                await asyncio.sleep(draw.uniform(0.2, 1.2))
+            await asyncio.gather(*stops)
+            self.soak.crowded_zone = None
+
     async def write_odd_entry(self, draw, duration_s):
         """Puts an entry that makes no sense beside those of the servers."""
         deep = 1
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -53,6 +53,8 @@
         self.retry_slack = 30
         # Factor on the rate of the callers.
         self.burst = 1.0
+        # The zone from which all callers come, if any.
+        self.crowded_zone = None
         self.stopping = False
         self.callers_stopping = False
         self.recovery_start = self.recovery_end = float("inf")
