Discovery: A list that a peer confirms counts as read

While the reader is frozen or cut off, a backend server that left without reporting it got requests from sound hosts up to 3 s after its entry was removed (bound 2 s).

Cause: ReadAt of a host that is not the reader moved only when the list changed. After 1.6 calm seconds, its first read as the next reader looked like the end of an outage of the platform, and missing entries were kept for 2 s more. The threshold was also shorter than a change of the reader takes.

Change: confirmByPeer() sets both times and the epoch of the store; an outage is now 2.5 s, from the time in which an entry of a live server can lapse.

--- a/src/libs/discovery/backend_directory.cpp
+++ b/src/libs/discovery/backend_directory.cpp
@@ -7,9 +7,11 @@
 
 namespace {
 
-// After an outage longer than this, the platform may have dropped the entries
-// of live backend servers that could not renew them.
-constexpr duration OutageThreshold = milliseconds(1600);
+// The platform drops an entry that was not renewed for three of the intervals,
+// of 1.5 s each, at which servers renew theirs. A live server renewed its entry
+// about one interval before an outage of the platform began, so only an outage
+// of nearly two intervals can cost it its entry.
+constexpr duration OutageThreshold = milliseconds(2500);
 // How long servers may take to register again after an outage.
 constexpr duration ReregistrationGrace = milliseconds(2000);
 // A restored store lists the servers of a copy that is seconds old.
@@ -126,14 +128,19 @@
   return replaceList(Directory, std::move(Listed), Now);
 }
 
-bool replaceWithPeerList(backend_directory &Directory,
-                         std::vector<backend_registration> Listed,
-                         std::uint64_t Epoch, time_point ConfirmedAt) {
+void confirmByPeer(backend_directory &Directory, std::uint64_t Epoch,
+                   time_point ConfirmedAt) {
   Directory.ReadAt =
       std::max(Directory.ReadAt.value_or(ConfirmedAt), ConfirmedAt);
   Directory.ConfirmedAt = ConfirmedAt;
   Directory.Epoch = std::max(Directory.Epoch, Epoch);
   Directory.PendingRemovals.clear();
+}
+
+bool replaceWithPeerList(backend_directory &Directory,
+                         std::vector<backend_registration> Listed,
+                         std::uint64_t Epoch, time_point ConfirmedAt) {
+  confirmByPeer(Directory, Epoch, ConfirmedAt);
   return replaceList(Directory, std::move(Listed), ConfirmedAt);
 }
 
--- a/src/libs/discovery/backend_directory.h
+++ b/src/libs/discovery/backend_directory.h
@@ -35,7 +35,8 @@
   std::map<std::string, removed_backend> Removed;
   /// The epoch of the store's history that the list is from; zero if unknown.
   std::uint64_t Epoch = 0;
-  /// When the list was last read from the platform, by any host.
+  /// When the list was last read from the platform, by any host, changed or
+  /// not.
   std::optional<time_point> ReadAt;
   /// The last read that left no removal pending. The age of the list is counted
   /// from here.
@@ -54,6 +55,12 @@
                        std::vector<backend_registration> Listed,
                        std::uint64_t Epoch, time_point Now);
 
+/// Records that another host holds the same list, read it in \p Epoch and had
+/// no removal pending at \p ConfirmedAt. Cancels the removals that are pending
+/// here.
+void confirmByPeer(backend_directory &Directory, std::uint64_t Epoch,
+                   time_point ConfirmedAt);
+
 /// Replaces the list with that of another host, which had read it in \p Epoch
 /// and had no removal pending at \p ConfirmedAt. Cancels the removals that are
 /// pending here. \returns whether the backend servers changed, as for
--- a/src/libs/entry_host/fleet_view_exchange.cpp
+++ b/src/libs/entry_host/fleet_view_exchange.cpp
@@ -151,7 +151,7 @@
                             ReadAt))
       publishBackends();
   } else if (Push.backends_version == newestVersion(BackendLists)) {
-    Directory.ConfirmedAt = ReadAt;
+    confirmByPeer(Directory, Push.store_epoch, ReadAt);
   }
 }
 
--- a/tests/auto/discovery/tst_backend_directory.cpp
+++ b/tests/auto/discovery/tst_backend_directory.cpp
@@ -68,6 +68,40 @@
   CHECK_FALSE(containsEntry(Directory, "x"));
 }
 
+// Guards against: a host that takes over as reader mistakes the time since the
+// last change of the list for an outage, and keeps servers that are gone.
+TEST_CASE("a list that another host confirmed is as old as the confirmation") {
+  backend_directory Directory;
+  mergePlatformList(Directory, {makeEntry("x"), makeEntry("y")}, 1, Start);
+  confirmByPeer(Directory, 1, Start + seconds(10));
+  CHECK(mergePlatformList(Directory, {makeEntry("y")}, 1,
+                          Start + seconds(10) + milliseconds(400)));
+  CHECK_FALSE(containsEntry(Directory, "x"));
+}
+
+// Guards against: such a host mistakes a restore of the store, which the other
+// host has already seen, for one that has just happened.
+TEST_CASE("a confirmation by another host includes the epoch of the store") {
+  backend_directory Directory;
+  mergePlatformList(Directory, {makeEntry("x"), makeEntry("y")}, 1, Start);
+  confirmByPeer(Directory, 2, Start + milliseconds(400));
+  CHECK(mergePlatformList(Directory, {makeEntry("y")}, 2,
+                          Start + milliseconds(800)));
+  CHECK_FALSE(containsEntry(Directory, "x"));
+}
+
+// Guards against: a change of the reader, in which nobody reads the platform
+// for about two seconds, is mistaken for an outage of the platform.
+TEST_CASE("a pause that costs no live server its entry is no outage") {
+  backend_directory Directory;
+  mergePlatformList(Directory, {makeEntry("x"), makeEntry("y")}, 1, Start);
+  mergePlatformList(Directory, {makeEntry("y")}, 1, Start + milliseconds(2400));
+  CHECK_FALSE(containsEntry(Directory, "x"));
+  // Servers renew their entries every 1.5 s, and these lapse after 4.5 s.
+  mergePlatformList(Directory, {}, 1, Start + milliseconds(5400));
+  CHECK(containsEntry(Directory, "y"));
+}
+
 TEST_CASE("the end of a warm-up is a change, its remaining time is not") {
   backend_directory Directory;
   backend_registration Warming = makeEntry("x");
--- a/tests/auto/entry_host/tst_fleet.cpp
+++ b/tests/auto/entry_host/tst_fleet.cpp
@@ -169,6 +169,31 @@
   });
 }
 
+// Guards against: the host that takes over from the reader keeps a server whose
+// entry was removed meanwhile, and makes the other hosts keep it too.
+TEST_CASE("a server whose entry is removed gets no new requests in time while "
+          "the reader is cut off") {
+  constexpr int HostCount = 4;
+  fleet_fixture Fleet(HostCount);
+  Fleet.addBackend(respondSuccessfully);
+  Fleet.addBackend(respondSuccessfully);
+  Fleet.run([&]() -> asio::awaitable<void> {
+    // The list doesn't change in this time.
+    co_await pauseFor(seconds(4));
+    const std::size_t Reader = readerOf(*Fleet.Hosts[0]);
+    Fleet.PlatformConnections[Reader]->Disconnected = true;
+    Fleet.Platform.Backends.erase(Fleet.Platform.Backends.begin());
+    // Requests may still reach the server for two seconds.
+    co_await pauseFor(seconds(2));
+    Fleet.Backends[0]->Requests.clear();
+    for (int Count = 0; Count < 3 * HostCount; ++Count)
+      co_await Fleet.sendAndReceive(Fleet.requestText("GET", "/read/", "r"), 1,
+                                    Count % HostCount);
+    CHECK(Fleet.Backends[0]->Requests.empty());
+    CHECK(Fleet.Backends[1]->Requests.size() >= 3 * HostCount);
+  });
+}
+
 TEST_CASE("changed settings apply without a restart") {
   fleet_fixture Fleet(1);
   Fleet.addBackend(respondSuccessfully);
