Fleet view: A host's own cut is no outage of the platform

The host had been cut off from everything for 12 s; back again, it kept the servers that had left for 2 s more, as after an outage of the platform.

Change: at a failed read, a host notes whether it is linked to fewer than half of the hosts to which it keeps links. Then the pause is its own, and missing entries are dropped at once.

tst_fleet, red before: CHECK( requestsToRemovedServer(Fleet) == 0 ) values 1 == 0; green now, beside the case of an outage of the platform alone.

--- a/src/libs/discovery/backend_directory.cpp
+++ b/src/libs/discovery/backend_directory.cpp
@@ -128,6 +128,11 @@
   return replaceList(Directory, std::move(Listed), Now);
 }
 
+void disregardPause(backend_directory &Directory, time_point Now) {
+  if (Directory.ReadAt)
+    Directory.ReadAt = std::max(*Directory.ReadAt, Now);
+}
+
 void confirmByPeer(backend_directory &Directory, std::uint64_t Epoch,
                    time_point ConfirmedAt) {
   Directory.ReadAt =
--- a/src/libs/discovery/backend_directory.h
+++ b/src/libs/discovery/backend_directory.h
@@ -55,6 +55,11 @@
                        std::vector<backend_registration> Listed,
                        std::uint64_t Epoch, time_point Now);
 
+/// Makes a read at \p Now count as no read after an outage, however long the
+/// pause since the last one: it was this host that was cut off, so the platform
+/// dropped no entries of live servers.
+void disregardPause(backend_directory &Directory, time_point Now);
+
 /// Records that another host holds the same list, read it in \p Epoch and had
 /// no removal pending at \p ConfirmedAt. Cancels the removals that are pending
 /// here.
--- a/src/libs/entry_host/fleet_view.cpp
+++ b/src/libs/entry_host/fleet_view.cpp
@@ -191,8 +191,13 @@
   else
     Listed = co_await Platform.readBackends();
   recordPlatformResult(failureOf(Listed));
-  if (!Listed)
+  if (!Listed) {
+    WasCutOff = Peers.isCutOff();
     co_return false;
+  }
+  // The other hosts may have read the platform all the time.
+  if (std::exchange(WasCutOff, false))
+    disregardPause(Directory, Listed->CurrentAt);
   if (mergePlatformList(Directory, Listed->Servers, Listed->Epoch,
                         Listed->CurrentAt))
     publishBackends();
--- a/src/libs/entry_host/fleet_view.h
+++ b/src/libs/entry_host/fleet_view.h
@@ -151,6 +151,9 @@
   std::size_t BackupReadersAsked = 0;
   std::optional<time_point> MembersReadAt;
   bool PlatformAvailable = true;
+  /// Whether this host was cut off from the other hosts as well when it last
+  /// failed to read the backend servers.
+  bool WasCutOff = false;
   bool ReadingConfig = false;
   bool FetchingConfig = false;
   bool ConfigIsMissing = false;
--- a/src/libs/entry_host/peer_network.cpp
+++ b/src/libs/entry_host/peer_network.cpp
@@ -209,7 +209,7 @@
     Peers[Host].ViewAge = milliseconds(Pong->view_age_ms);
 }
 
-void peer_network::maintainLinks() {
+std::set<std::string> peer_network::hostsToLink() const {
   std::set<std::string> LinkedHosts;
   for (const auto &[Duty, Ranks] : Assignment.Candidates) {
     const std::size_t Count = std::min(LinkedRankCount, Ranks.size());
@@ -219,6 +219,21 @@
   for (const std::string &Relay : Relays | std::views::take(LinkedRelayCount))
     LinkedHosts.insert(Relay);
   LinkedHosts.erase(Self);
+  return LinkedHosts;
+}
+
+bool peer_network::isCutOff() const {
+  const std::set<std::string> LinkedHosts = hostsToLink();
+  const auto Linked =
+      std::ranges::count_if(LinkedHosts, [this](const std::string &Host) {
+        const link_pointer Link = linkTo(Host);
+        return Link && Link->isOpen();
+      });
+  return 2 * static_cast<std::size_t>(Linked) < LinkedHosts.size();
+}
+
+void peer_network::maintainLinks() {
+  const std::set<std::string> LinkedHosts = hostsToLink();
   for (const fleet_member &Member : Members) {
     if (!LinkedHosts.contains(Member.Host))
       continue;
--- a/src/libs/entry_host/peer_network.h
+++ b/src/libs/entry_host/peer_network.h
@@ -69,6 +69,10 @@
   /// a view that is not much older than this host's.
   [[nodiscard]] bool isUsable(const std::string &Host) const;
 
+  /// \returns whether fewer than half of the hosts that this one keeps links to
+  /// are linked: it is then probably cut off from the fleet.
+  [[nodiscard]] bool isCutOff() const;
+
   /// Sends \p Body to \p Host. \returns whether there is an open link.
   bool send(const std::string &Host, wire::messageUnion Body);
 
@@ -105,6 +109,7 @@
   asio::awaitable<void> maintainLinksLoop();
   void reassignDuties();
   void chooseRelays();
+  [[nodiscard]] std::set<std::string> hostsToLink() const;
   void maintainLinks();
   asio::awaitable<void> connectTo(fleet_member Member);
   asio::awaitable<void> sendPing(std::string Host, link_pointer Link);
--- a/tests/auto/entry_host/tst_fleet.cpp
+++ b/tests/auto/entry_host/tst_fleet.cpp
@@ -194,6 +194,48 @@
   });
 }
 
+namespace {
+
+/// Cuts the only host of \p Fleet off from the platform, removes the entry of a
+/// server meanwhile, and \returns the requests that this server gets from the
+/// first read after the cut on.
+std::size_t requestsToRemovedServer(fleet_fixture &Fleet) {
+  Fleet.addBackend(respondSuccessfully);
+  Fleet.addBackend(respondSuccessfully);
+  std::size_t Requests = 0;
+  Fleet.run([&]() -> asio::awaitable<void> {
+    co_await pauseFor(seconds(1));
+    Fleet.PlatformConnections[0]->Disconnected = true;
+    Fleet.Platform.Backends.erase(Fleet.Platform.Backends.begin());
+    co_await pauseFor(seconds(4));
+    Fleet.PlatformConnections[0]->Disconnected = false;
+    // Longer than the interval at which the platform is tried.
+    co_await pauseFor(milliseconds(1700));
+    Fleet.Backends[0]->Requests.clear();
+    for (int Count = 0; Count < 6; ++Count)
+      co_await Fleet.sendAndReceive(Fleet.requestText("GET", "/read/", "r"));
+    Requests = Fleet.Backends[0]->Requests.size();
+  });
+  return Requests;
+}
+
+} // namespace
+
+// Guards against: a host that was cut off from everything takes this for an
+// outage of the platform, and keeps servers that left meanwhile.
+TEST_CASE("a host that was cut off from the fleet too drops removed servers") {
+  fleet_fixture Fleet;
+  // None of them can be linked.
+  for (const char *Name : {"a", "b", "c", "d"})
+    Fleet.Platform.Members.push_back({Name, "a", {"127.97.9.9", 18'999}, 1000});
+  CHECK(requestsToRemovedServer(Fleet) == 0);
+}
+
+TEST_CASE("after an outage of the platform servers may register again") {
+  fleet_fixture Fleet;
+  CHECK(requestsToRemovedServer(Fleet) > 0);
+}
+
 TEST_CASE("changed settings apply without a restart") {
   fleet_fixture Fleet(1);
   Fleet.addBackend(respondSuccessfully);
