Soak: Servers leave without a word while the reader is cut off

Now servers also leave without a word and serve on, while the reader is cut off from the store. Two such departures come before all other faults, as the check excuses hosts within three seconds of a fault.

--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -89,9 +89,15 @@
             messages.reset(writer)
         self.link.stop()
 
+    def leave_silently(self):
+        """Removes its entry, without draining first, and serves on."""
+        self.state = "left"
+        self.soak.store.remove("servers", self.name)
+        self.drain_acknowledged = time.monotonic()
+
     def send_heartbeat(self):
         """Registers the server with the store, unless the store has a fault."""
-        if not self.alive or self.cut_from_store or \
+        if not self.alive or self.state == "left" or self.cut_from_store or \
                 self.soak.store.mode != "ok":
             return
         self.sequence += 1
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -4,6 +4,11 @@
 import signal
 import time
 
+from checks import FAULT_FREE_LEAD_S
+
+# How long the reader is cut off from the store while a server leaves.
+READER_CUT_S = 4.0
+
 
 class Faults:
     """Each method in `kinds` is a kind of fault; its name is logged."""
@@ -24,9 +29,12 @@
 
     async def run(self, seconds):
         """Starts faults for `seconds`, then waits until all have ended."""
+        if not self.soak.options.no_timing:
+            await self.run_calm_departures()
         end = time.monotonic() + seconds
         tasks = [asyncio.ensure_future(each) for each in (
-            self.run_misleading_servers(end), self.run_zone_restarts(end))]
+            self.run_misleading_servers(end), self.run_zone_restarts(end),
+            self.run_silent_departures(end))]
         while time.monotonic() < end:
             fault = self.random.choice(self.kinds)
             duration_s = min(self.random.uniform(1, 6),
@@ -93,6 +101,43 @@
             await asyncio.gather(*stops)
             self.soak.crowded_zone = None
 
+    async def run_calm_departures(self):
+        """Silent departures without other faults, which would excuse hosts."""
+        draw = random.Random(f"calm departures of {self.soak.seed}")
+        for _ in range(2):
+            await asyncio.sleep(FAULT_FREE_LEAD_S)
+            await self.lose_reader_and_server(draw)
+
+    async def run_silent_departures(self, end):
+        """Servers leave without draining first, as the reader loses the store.
+
+        Draws from a generator of its own, so that the other faults of a seed
+        stay the same.
+        """
+        draw = random.Random(f"silent departures of {self.soak.seed}")
+        while time.monotonic() < end:
+            await asyncio.sleep(draw.uniform(1.0, 5.0))
+            await self.lose_reader_and_server(draw)
+
+    async def lose_reader_and_server(self, draw):
+        """Cuts the reader off from the store, and a server leaves silently."""
+        name = await draw.choice(self.soak.hosts).ask_reader()
+        readers = [host for host in self.soak.hosts if host.name == name]
+        ready = self.ready_backends()
+        if not readers or not ready or not self.soak.store.healthy:
+            return
+        backend = draw.choice(ready)
+        self.soak.log(f"{name} loses the store, {backend.name} leaves")
+        readers[0].record_fault("store-link", READER_CUT_S)
+        link = readers[0].store_link
+        link.blocked = {"forward": True, "backward": True}
+        await asyncio.sleep(0.3)
+        backend.leave_silently()
+        self.soak.stop_after_drain(backend)
+        await asyncio.sleep(READER_CUT_S - 0.3)
+        link.clear_faults()
+        await self.soak.add_backend(backend.service)
+
     async def write_odd_entry(self, draw, duration_s):
         """Puts an entry that makes no sense beside those of the servers."""
         deep = 1
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -131,6 +131,24 @@
                 self.start()
             await asyncio.sleep(0.02)
 
+    async def ask_reader(self):
+        """The name of the host that reads the store for the others, or None."""
+        writer = None
+        try:
+            reader, writer = await asyncio.wait_for(
+                asyncio.open_connection(self.ip, 7541), 0.5)
+            writer.write(messages.make_request("GET", "/state",
+                                               {"Host": "operator"}))
+            response = await asyncio.wait_for(
+                messages.read_message(reader, True), 0.5)
+            return json.loads(response.body)["view"]["reader"]
+        except (OSError, asyncio.TimeoutError, messages.MessageError,
+                AttributeError, KeyError, ValueError):
+            return None
+        finally:
+            if writer:
+                messages.reset(writer)
+
     async def poll_readiness(self):
         """Polls readiness as the load balancer does.
 
