--- a/tests/auto/platform/tst_object_store.cpp
+++ b/tests/auto/platform/tst_object_store.cpp
@@ -169,3 +169,41 @@
     CHECK((co_await Fixture.Store.readBackends())->Servers.size() == 10);
   });
 }
+
+// Guards against: a list whose pages have no end fills the memory of the host.
+TEST_CASE("a list of the platform that has no end is given up") {
+  asio::io_context Context;
+  manual_clock Clock;
+  constexpr int LastPage = 60;
+  int Pages = 0;
+  http_server Server(
+      Context, {},
+      [&](http_request,
+          std::shared_ptr<peer_connection>) -> asio::awaitable<http_response> {
+        ++Pages;
+        json::object Entry = backendEntry().as_object();
+        Entry["zone"] = std::string(1U << 20U, 'z');
+        const json::object Item = {
+            {"metadata", json::object{{"name", "i-" + std::to_string(Pages)}}},
+            {"specification", Entry}};
+        const json::object Page = {{"items", json::array{Item}},
+                                   {"more", Pages < LastPage},
+                                   {"as_of", 1}};
+        co_return jsonResponse(200, json::serialize(Page));
+      });
+  REQUIRE(Server.listen(StoreAddress).has_value());
+  platform::object_store Store(Context, Clock, StoreAddress);
+  result<backend_listing> Listed;
+  asio::co_spawn(
+      Context,
+      [&]() -> asio::awaitable<void> {
+        Listed = co_await Store.readBackends();
+        Server.abort();
+        Context.stop();
+      },
+      asio::detached);
+  Context.run();
+  REQUIRE_FALSE(Listed);
+  CHECK(Listed.error().Code == error_code::AnswerMalformed);
+  CHECK(Pages < LastPage);
+}
