Caller server: Limit the bodies that a host holds together

Change: bodies of callers share a budget from the memory in the settings; what doesn't fit is refused with 503 and Retry-After before it is passed on. Bodies of up to 16 KB don't count. The client's budget for responses is the same code now.

tst_caller_bodies, red before: CHECK( Refused >= CallerCount - 3 ) values 3 >= 5 CHECK( Backend.Requests.size() <= 3 + 1 ) values 5 <= 4 chunks: CHECK( Fleet.statusOf(Response) == 503 ) values 0 == 503 green now. Endless heads, bodies and frames at all four ports are shown to be closed without being kept; this held before too.

--- a/scripts/lib/schemas.py
+++ b/scripts/lib/schemas.py
@@ -117,6 +117,8 @@
                      "where other hosts reach it, if not where it listens"},
     "cpu_share": {"type": "number", "minimum": 0, "default": 1.0,
                   "description": "cores that the process may use"},
+    "memory_mb": integer_schema("memory that the process may use, in MiB",
+                                1, 1000000, 160),
     "retry_ratio": {"type": "number", "minimum": 0, "default": 0.2,
                     "description": "repeats a request, fleet-wide"},
     "retry_slack": {"type": "number", "minimum": 0, "default": 0,
--- a/src/libs/entry_host/caller_server.cpp
+++ b/src/libs/entry_host/caller_server.cpp
@@ -1,5 +1,6 @@
 #include "entry_host/caller_server.h"
 
+#include "http/body_budget.h"
 #include "http/framing_check.h"
 #include "utils/listen.h"
 #include "utils/log.h"
@@ -25,7 +26,13 @@
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 // Requests that one connection may have read but not answered yet.
 constexpr std::size_t MaxPipelinedRequests = 16;
+constexpr unsigned BadRequest = 400;
 constexpr duration BodyTimeout = seconds(10);
+// Bodies up to this size don't count in the limit on all bodies: so large ones
+// can't keep them out. The number of connections limits them.
+constexpr std::uint64_t MaxUncountedBodyBytes = 16U << 10U;
+// Some of the large bodies have been passed on by then.
+constexpr duration BodiesRetryAfter = milliseconds(500);
 constexpr duration WriteTimeout = seconds(10);
 // How long input is still read and discarded after the send side is closed, so
 // that the caller receives the last response and not a reset.
@@ -49,6 +56,7 @@
 /// A request on a connection whose response is not written yet.
 struct pending_exchange {
   std::unique_ptr<in_flight_guard> InFlightGuard;
+  std::unique_ptr<body_reservation> BodyReservation;
   http_response Response;
   bool Ready = false;
   bool IsHead = false;
@@ -82,8 +90,11 @@
   return Message;
 }
 
+// The limit on all bodies leaves no room for one more.
+const beast::error_code BodiesTooLarge =
+    asio::error::make_error_code(asio::error::no_buffer_space);
+
 unsigned statusForReadFailure(const beast::error_code &Failure) {
-  constexpr unsigned BadRequest = 400;
   constexpr unsigned RequestTimeout = 408;
   constexpr unsigned TooLarge = 413;
   constexpr unsigned HeadersTooLarge = 431;
@@ -96,10 +107,32 @@
   return BadRequest;
 }
 
+using request_parser = http::request_parser<http::string_body>;
+
+// Reserves the memory that the body takes so far, or will take if its length is
+// known. \returns false if there is none left.
+bool reserveBody(body_reservation &Reservation, const request_parser &Parser) {
+  const std::uint64_t Length = Parser.content_length().value_or(0);
+  const std::uint64_t Bytes =
+      std::max<std::uint64_t>(Length, Parser.get().body().capacity());
+  return Bytes <= MaxUncountedBodyBytes || Reservation.resize(Bytes);
+}
+
+http_response malformedResponse(unsigned Status) {
+  return jsonResponse(Status, R"({"error":"request-malformed"})");
+}
+
+http_response responseForReadFailure(const beast::error_code &Failure) {
+  constexpr unsigned Unavailable = 503;
+  if (Failure == BodiesTooLarge)
+    return notRunResponse(Unavailable, "bodies-too-large", BodiesRetryAfter);
+  return malformedResponse(statusForReadFailure(Failure));
+}
+
 bool isCallerError(const beast::error_code &Failure) {
   const bool IsHttp = Failure.category() ==
                       beast::error_code(http::error::bad_value).category();
-  return Failure == beast::error::timeout ||
+  return Failure == beast::error::timeout || Failure == BodiesTooLarge ||
          (IsHttp && Failure != http::error::end_of_stream &&
           Failure != http::error::partial_message);
 }
@@ -113,6 +146,7 @@
   caller_bounds Bounds;
   acceptor_pointer Acceptor;
   std::set<class caller_connection *> Connections;
+  std::shared_ptr<body_budget> Bodies;
   std::shared_ptr<std::size_t> InFlight = std::make_shared<std::size_t>(0);
   bool Closing = false;
 };
@@ -195,7 +229,8 @@
 
   template <typename State> asio::awaitable<void> readRequest(State Server) {
     Receiving = true;
-    http::request_parser<http::string_body> Parser;
+    request_parser Parser;
+    auto Reservation = std::make_unique<body_reservation>(Server->Bodies);
     Buffer.max_size(Server->Bounds.MaxHeaderBytes + ReadBufferBytes);
     Parser.header_limit(Server->Bounds.MaxHeaderBytes);
     Parser.body_limit(Server->Bounds.MaxBodyBytes);
@@ -203,14 +238,8 @@
     auto [HeaderFailure, HeaderBytes] =
         co_await http::async_read_header(Stream, Buffer, Parser, UseTuple);
     beast::error_code Failure = HeaderFailure;
-    if (!Failure && !Parser.is_done()) {
-      if (Parser.get().find(http::field::expect) != Parser.get().end())
-        co_await sendContinue();
-      Stream.expires_after(BodyTimeout);
-      auto [BodyFailure, BodyBytes] =
-          co_await http::async_read(Stream, Buffer, Parser, UseTuple);
-      Failure = BodyFailure;
-    }
+    if (!Failure && !Parser.is_done())
+      Failure = co_await readBody(Parser, *Reservation);
     Receiving = false;
     // Meanwhile a response may have announced that the connection closes.
     if (ReadingDone)
@@ -218,7 +247,7 @@
     if (Failure) {
       ReadingDone = true;
       if (isCallerError(Failure))
-        rejectRequest(statusForReadFailure(Failure));
+        rejectRequest(responseForReadFailure(Failure));
       else
         handleCallerGone();
       co_return;
@@ -226,16 +255,33 @@
     auto Message = Parser.release();
     const bool KeepAlive = Message.keep_alive();
     http_request Request = toHttpRequest(std::move(Message));
-    constexpr unsigned BadRequest = 400;
     const result<void> Framing = checkFraming(Request.Headers);
     if (!Framing) {
       ReadingDone = true;
-      rejectRequest(BadRequest);
+      rejectRequest(malformedResponse(BadRequest));
       co_return;
     }
     if (!KeepAlive)
       ReadingDone = true;
-    startExchange(Server, std::move(Request));
+    startExchange(Server, std::move(Request), std::move(Reservation));
+  }
+
+  asio::awaitable<beast::error_code> readBody(request_parser &Parser,
+                                              body_reservation &Reservation) {
+    if (!reserveBody(Reservation, Parser))
+      co_return BodiesTooLarge;
+    if (Parser.get().find(http::field::expect) != Parser.get().end())
+      co_await sendContinue();
+    Stream.expires_after(BodyTimeout);
+    while (!Parser.is_done()) {
+      auto [Failure, Count] =
+          co_await http::async_read_some(Stream, Buffer, Parser, UseTuple);
+      if (Failure)
+        co_return Failure;
+      if (!reserveBody(Reservation, Parser))
+        co_return BodiesTooLarge;
+    }
+    co_return beast::error_code();
   }
 
   asio::awaitable<void> sendContinue() {
@@ -246,8 +292,10 @@
   }
 
   template <typename State>
-  void startExchange(State Server, http_request Request) {
+  void startExchange(State Server, http_request Request,
+                     std::unique_ptr<body_reservation> BodyReservation) {
     auto Exchange = std::make_shared<pending_exchange>();
+    Exchange->BodyReservation = std::move(BodyReservation);
     Exchange->IsHead = Request.Method == "HEAD";
     Pending.push_back(Exchange);
     Exchange->InFlightGuard =
@@ -270,10 +318,9 @@
     StateChanged.cancel();
   }
 
-  void rejectRequest(unsigned Status) {
+  void rejectRequest(http_response Response) {
     auto Exchange = std::make_shared<pending_exchange>();
-    Exchange->Response =
-        jsonResponse(Status, R"({"error":"request-malformed"})");
+    Exchange->Response = std::move(Response);
     Exchange->Ready = true;
     Pending.push_back(Exchange);
     StateChanged.cancel();
@@ -384,9 +431,16 @@
 } // namespace
 
 caller_server::caller_server(asio::io_context &Context,
-                             const clock_source &Clock, caller_handler Handler)
-    : State(std::make_shared<shared_state>(
-          shared_state{Context, Clock, std::move(Handler), {}, {}, {}})) {}
+                             const clock_source &Clock, caller_handler Handler,
+                             std::uint64_t MaxBodyBytes)
+    : State(std::make_shared<shared_state>(shared_state{
+          Context,
+          Clock,
+          std::move(Handler),
+          {},
+          {},
+          {},
+          std::make_shared<body_budget>(body_budget{MaxBodyBytes, 0})})) {}
 
 caller_server::~caller_server() {
   boost::system::error_code Ignored;
--- a/src/libs/entry_host/caller_server.h
+++ b/src/libs/entry_host/caller_server.h
@@ -13,6 +13,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <set>
@@ -25,8 +26,11 @@
 /// All members run on the thread of the io_context.
 class caller_server {
 public:
+  /// Holds request bodies of at most \p MaxBodyBytes in total, from their first
+  /// byte until they are answered. A request that doesn't fit is refused as not
+  /// run.
   caller_server(asio::io_context &Context, const clock_source &Clock,
-                caller_handler Handler);
+                caller_handler Handler, std::uint64_t MaxBodyBytes);
   ~caller_server();
 
   /// Starts accepting connections. Fails with AddressMalformed if it can't
--- a/src/libs/entry_host/entry_host.cpp
+++ b/src/libs/entry_host/entry_host.cpp
@@ -35,6 +35,15 @@
 constexpr std::uint64_t MaxResponseBodyBytes = 16U << 20U;
 constexpr std::uint64_t MaxReceivedBodyBytes = 32U << 20U;
 
+// What a host needs beside the bodies of requests.
+constexpr std::uint64_t OtherMemoryBytes = 40U << 20U;
+
+// A body is held twice while it is sent to a backend server.
+std::uint64_t maxCallerBodyBytes(std::uint64_t MemoryBytes) {
+  constexpr std::uint64_t Copies = 2;
+  return (std::max(MemoryBytes, OtherMemoryBytes) - OtherMemoryBytes) / Copies;
+}
+
 http_client_limits clientLimits(const header_names &Names) {
   http_client_limits Limits;
   Limits.BodyBytes = MaxResponseBodyBytes;
@@ -73,11 +82,13 @@
             }}),
       ProxyEnvironment{Context,          Clock, Client, Slots, Metrics,
                        std::move(Names), {}},
-      CallerServer(Context, Clock,
-                   [this](http_request Request,
-                          std::shared_ptr<caller_connection_status> Caller) {
-                     return serve(std::move(Request), std::move(Caller));
-                   }),
+      CallerServer(
+          Context, Clock,
+          [this](http_request Request,
+                 std::shared_ptr<caller_connection_status> Caller) {
+            return serve(std::move(Request), std::move(Caller));
+          },
+          maxCallerBodyBytes(this->Settings.MemoryBytes)),
       ReadinessServer(Context, {},
                       [this](http_request, std::shared_ptr<peer_connection>) {
                         return serveReadiness();
--- a/src/libs/entry_host/host_settings.h
+++ b/src/libs/entry_host/host_settings.h
@@ -29,6 +29,8 @@
   socket_address Metrics;
   /// CPU share of this process, in thousandths of a core.
   std::uint32_t CapacityMillicores = 1000;
+  /// Memory of this process, in bytes.
+  std::uint64_t MemoryBytes = 160U << 20U;
   /// Time after SIGTERM within which the process exits.
   duration GracePeriod = seconds(6);
   retry_limits Retries;
--- a/src/libs/http/http_client.cpp
+++ b/src/libs/http/http_client.cpp
@@ -1,5 +1,7 @@
 #include "http/http_client.h"
 
+#include "http/body_budget.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -188,31 +190,6 @@
     Close();
 }
 
-// The share of one response in the limit for all bodies that are being
-// received.
-class body_reservation {
-public:
-  body_reservation(std::uint64_t &Total, std::uint64_t Limit)
-      : Total(Total), Limit(Limit) {}
-  body_reservation(const body_reservation &) = delete;
-  body_reservation &operator=(const body_reservation &) = delete;
-  ~body_reservation() { Total -= Bytes; }
-
-  // Changes the share to \p Next bytes, if the limit allows it.
-  [[nodiscard]] bool resize(std::uint64_t Next) {
-    if (Total - Bytes + Next > Limit)
-      return false;
-    Total += Next - Bytes;
-    Bytes = Next;
-    return true;
-  }
-
-private:
-  std::uint64_t &Total;
-  std::uint64_t Limit;
-  std::uint64_t Bytes = 0;
-};
-
 using response_parser = http::response_parser<http::string_body>;
 
 asio::awaitable<beast::error_code> readResponse(connection &Connection,
@@ -234,7 +211,7 @@
   asio::io_context &Context;
   http_client_limits Limits;
   std::map<socket_address, std::deque<connection_pointer>> Idle;
-  std::uint64_t ReceivedBodyBytes = 0;
+  std::shared_ptr<body_budget> Budget;
 
   connection_pointer takeIdle(const socket_address &Address,
                               duration MaxIdleAge, time_point Now) {
@@ -264,7 +241,11 @@
 
 http_client::http_client(asio::io_context &Context, http_client_limits Limits)
     : State(std::make_shared<shared_state>(
-          shared_state{Context, Limits, {}, 0})) {}
+          shared_state{Context,
+                       Limits,
+                       {},
+                       std::make_shared<body_budget>(
+                           body_budget{Limits.TotalBodyBytes, 0})})) {}
 
 http_client::~http_client() = default;
 
@@ -321,8 +302,7 @@
   bool KeepAlive = false;
   // Limits the interim (1xx) and mismatched responses that are skipped.
   constexpr int MaxResponses = 8;
-  body_reservation Reservation(Client->ReceivedBodyBytes,
-                               Client->Limits.TotalBodyBytes);
+  body_reservation Reservation(Client->Budget);
   for (int Count = 0; Count < MaxResponses; ++Count) {
     response_parser Parser;
     Parser.body_limit(Client->Limits.BodyBytes);
@@ -390,7 +370,7 @@
 }
 
 std::uint64_t http_client::receivedBodyBytes() const {
-  return State->ReceivedBodyBytes;
+  return State->Budget->Used;
 }
 
 std::size_t http_client::idleConnectionCount() const {
--- a/tests/auto/entry_host/fleet_fixture.h
+++ b/tests/auto/entry_host/fleet_fixture.h
@@ -233,8 +233,9 @@
 
 class fleet_fixture {
 public:
-  explicit fleet_fixture(int Hosts = 1, relay_policy Relays = {})
-      : Relays(Relays) {
+  explicit fleet_fixture(int Hosts = 1, relay_policy Relays = {},
+                         std::uint64_t MemoryBytes = 160U << 20U)
+      : Relays(Relays), MemoryBytes(MemoryBytes) {
     static const bool Quiet = [] {
       startLogging("test", "", log_level::Error);
       return true;
@@ -364,6 +365,7 @@
 
 private:
   relay_policy Relays;
+  std::uint64_t MemoryBytes;
 
   void addHost(int Number) {
     host_settings Settings;
@@ -378,6 +380,7 @@
     Settings.Retries = {0.2, seconds(10), 60};
     Settings.GracePeriod = seconds(1);
     Settings.Relays = Relays;
+    Settings.MemoryBytes = MemoryBytes;
     PlatformConnections.push_back(
         std::make_unique<platform_connection>(Platform));
     Hosts.push_back(std::make_unique<entry_host>(
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -60,7 +60,8 @@
             "host": self.name, "zone": self.zone, "ip": self.ip,
             "listen": self.listen, "readiness": self.readiness,
             "first_internal_port": 7540, "peer_address": self.peer_link.listen,
-            "cpu_share": 0.2, "grace_period": f"{GRACE_PERIOD_S:g}s",
+            "cpu_share": 0.2, "memory_mb": 260,
+            "grace_period": f"{GRACE_PERIOD_S:g}s",
             "retry_ratio": 0.2, "retry_window": "10s",
             "retry_slack": self.soak.retry_slack,
             "platform": self.store_link.listen}
