Discovery: Each outage gives servers the whole grace period

Found by reading in the review: after a second outage of the platform within two seconds of the first, entries that were missing were removed at once, although live servers had had no time to register again. emplace() kept the time of the first.

tst_backend_directory, red before: CHECK( containsEntry(Directory, "x") ) values CHECK( false ), twice; green now.

--- a/src/libs/discovery/backend_directory.cpp
+++ b/src/libs/discovery/backend_directory.cpp
@@ -114,7 +114,8 @@
     if (findEntry(Listed, Known.Name))
       continue;
     if (AfterOutage || Restored)
-      Directory.PendingRemovals.emplace(Known.Name, Now + ReregistrationGrace);
+      Directory.PendingRemovals.insert_or_assign(Known.Name,
+                                                 Now + ReregistrationGrace);
     const auto Removal = Directory.PendingRemovals.find(Known.Name);
     if (Removal != Directory.PendingRemovals.end() && Now < Removal->second)
       Kept.push_back(Known);
--- a/tests/auto/discovery/tst_backend_directory.cpp
+++ b/tests/auto/discovery/tst_backend_directory.cpp
@@ -50,6 +50,21 @@
   CHECK(Directory.ConfirmedAt == Recovery + milliseconds(2000));
 }
 
+// Guards against: a second outage that begins within the grace period of the
+// first one, after which live servers without an entry are removed at once.
+TEST_CASE("each outage gives servers the whole grace period") {
+  backend_directory Directory;
+  mergePlatformList(Directory, {makeEntry("x")}, 1, Start);
+  mergePlatformList(Directory, {}, 1, Start + seconds(10));
+  const time_point SecondRecovery = Start + seconds(14);
+  mergePlatformList(Directory, {}, 1, SecondRecovery);
+  CHECK(containsEntry(Directory, "x"));
+  mergePlatformList(Directory, {}, 1, SecondRecovery + milliseconds(1900));
+  CHECK(containsEntry(Directory, "x"));
+  mergePlatformList(Directory, {}, 1, SecondRecovery + milliseconds(2000));
+  CHECK_FALSE(containsEntry(Directory, "x"));
+}
+
 TEST_CASE("an entry listed again after an outage confirms the list") {
   backend_directory Directory;
   mergePlatformList(Directory, {makeEntry("x")}, 1, Start);
