Request proxy: Send nothing again for a caller that has left

Found by reading in the review: an unsafe request that one server refused was sent to the next, though its caller had left meanwhile. shouldStop() asked whether any call had started; it now asks whether one may have run. Requests that wait for their second slot at a leaving host are refused at once by the same rule.

--- a/src/libs/entry_host/request_proxy.cpp
+++ b/src/libs/entry_host/request_proxy.cpp
@@ -123,19 +123,22 @@
     return !Environment.ServiceEnd || Deadline <= *Environment.ServiceEnd;
   }
 
+  // Whether it is certain that no backend server has run the request.
+  [[nodiscard]] bool isNotRun() const {
+    return std::ranges::all_of(Attempts, [](const attempt_pointer &Each) {
+      return !Each->CallStarted || Each->State == attempt_state::NotRun;
+    });
+  }
+
   // A caller that disconnected needs no response. A non-idempotent request that
-  // was already sent still runs to its end, because the caller may have wanted
-  // its effect.
+  // may run already is seen to its end, because the caller may have wanted its
+  // effect.
   [[nodiscard]] bool shouldStop() const {
     if (now() >= Deadline)
       return true;
-    const bool NoCallStarted =
-        std::ranges::none_of(Attempts, [](const attempt_pointer &Each) {
-          return Each->CallStarted;
-        });
-    if (NoCallStarted && !endsInService())
+    if (isNotRun() && !endsInService())
       return true;
-    return Caller->Disconnected && (Request.Route.Idempotent || NoCallStarted);
+    return Caller->Disconnected && (Request.Route.Idempotent || isNotRun());
   }
 
   [[nodiscard]] attempt_pointer acceptedAttempt() const {
--- a/tests/auto/entry_host/tst_request_proxy.cpp
+++ b/tests/auto/entry_host/tst_request_proxy.cpp
@@ -264,6 +264,35 @@
   }
 }
 
+// Guards against: a request that must not be repeated is sent to the next
+// server after a refusal, though its caller has left meanwhile.
+TEST_CASE("a request that was refused is not sent again without its caller") {
+  fleet_fixture Fleet;
+  const backend_script RefuseLater =
+      [](http_request Request) -> asio::awaitable<http_response> {
+    co_await pauseFor(milliseconds(200));
+    http_response Response = signedResponse(Request, 503);
+    setHeader(Response.Headers, TestNames.NotRun, "1");
+    co_return Response;
+  };
+  scripted_backend &One = Fleet.addBackend(RefuseLater);
+  scripted_backend &Two = Fleet.addBackend(RefuseLater);
+  Fleet.run([&]() -> asio::awaitable<void> {
+    asio::ip::tcp::socket Socket(Fleet.Context);
+    const socket_address Address = Fleet.listenAddress(0);
+    co_await Socket.async_connect(
+        {asio::ip::make_address(Address.Ip), Address.Port},
+        asio::use_awaitable);
+    const std::string Text = post();
+    co_await asio::async_write(Socket, asio::buffer(Text), asio::use_awaitable);
+    while (One.Requests.empty() && Two.Requests.empty())
+      co_await pauseFor(milliseconds(5));
+    Socket.close();
+    co_await pauseFor(milliseconds(600));
+  });
+  CHECK(One.Requests.size() + Two.Requests.size() == 1);
+}
+
 TEST_CASE("malformed requests get error 400 and don't affect other requests") {
   fleet_fixture Fleet;
   Fleet.addBackend(respondSuccessfully);
