Fleet view: A host without a list of servers can be subscribed to

The kernel's log names one address for all, in changeSince(), whose precondition is that the history is not empty.

Cause: at the start, a push of version zero (no list yet) counted as a confirmation of the empty list since "A list that a peer confirms counts as read", so that hosts held on to it for longer, were complete without servers, and were subscribed to by hosts that had a list. push() then asked the empty history for a change. The fault in push() is older; it needed a first list without servers.

Change: version zero confirms nothing, and push() sends no list while there is none.

tst_fleet, red before: test case CRASHED, SIGSEGV; green with the change.

--- a/src/libs/entry_host/fleet_view_exchange.cpp
+++ b/src/libs/entry_host/fleet_view_exchange.cpp
@@ -87,7 +87,9 @@
   Push.config_version = configVersion();
   Push.store_epoch = Directory.Epoch;
   Push.backends_version = newestVersion(BackendLists);
-  Push.has_backends = Push.backends_version != To.BackendsVersion;
+  // Version zero means that this host holds no list yet.
+  Push.has_backends =
+      Push.backends_version != 0 && Push.backends_version != To.BackendsVersion;
   if (Push.has_backends) {
     const backend_list_change Change =
         changeSince(BackendLists, To.BackendsVersion);
@@ -150,7 +152,8 @@
     if (replaceWithPeerList(Directory, std::move(*Next), Push.store_epoch,
                             ReadAt))
       publishBackends();
-  } else if (Push.backends_version == newestVersion(BackendLists)) {
+  } else if (Push.backends_version != 0 &&
+             Push.backends_version == newestVersion(BackendLists)) {
     confirmByPeer(Directory, Push.store_epoch, ReadAt);
   }
 }
--- a/tests/auto/entry_host/tst_fleet.cpp
+++ b/tests/auto/entry_host/tst_fleet.cpp
@@ -1,5 +1,8 @@
 #include "fleet_fixture.h"
 
+#include "entry_host/slot_wire.h"
+#include "wire/frame_link.h"
+
 using namespace coriandertray;
 using namespace coriandertray::testing;
 
@@ -236,6 +239,32 @@
   CHECK(requestsToRemovedServer(Fleet) > 0);
 }
 
+// Guards against: a host that holds no list of servers yet ends by a fault when
+// a host that holds one subscribes to it.
+TEST_CASE("a host without a list of servers can be subscribed to") {
+  fleet_fixture Fleet;
+  Fleet.run([&]() -> asio::awaitable<void> {
+    const socket_address Peers = {fleet_fixture::listenAddress(0).Ip, 18'202};
+    const result<link_pointer> Link =
+        co_await connectLink(Fleet.Context, Peers, seconds(1));
+    REQUIRE(Link);
+    bool HasList = true;
+    (*Link)->start([&HasList](const link_pointer &, envelope Message) {
+      if (const auto *Push = Message.body.Asview_push())
+        HasList = Push->has_backends;
+    });
+    wire::view_subscribe_value Subscription;
+    Subscription.host = "subscriber";
+    Subscription.backends_version = 7;
+    envelope Message;
+    Message.body = makeBody(Subscription);
+    (*Link)->send(Message);
+    co_await pauseFor(milliseconds(300));
+    CHECK_FALSE(HasList);
+    (*Link)->close();
+  });
+}
+
 TEST_CASE("changed settings apply without a restart") {
   fleet_fixture Fleet(1);
   Fleet.addBackend(respondSuccessfully);
