Accounts: Add their values, fields and messages

Client accounts need a place in the configuration, in slot requests, in the settings of a host and in the messages between hosts. This commit adds the values and the wire fields that the parts share (docs/design/accounts-and-overload.md), so that these can be built side by side. Nothing fills or reads them yet: a configuration never has accounts.

Built; tst_entry_host, tst_platform, tst_allocation and tst_wire pass.

--- a/src/libs/allocation/slot_messages.h
+++ b/src/libs/allocation/slot_messages.h
@@ -39,6 +39,12 @@
   /// Requests of the same class take about the same time.
   std::string RequestClass;
   bool Idempotent = false;
+  /// The client account; empty if there is none.
+  std::string Account;
+  /// Zero is the most urgent. Goes before Priority.
+  std::uint32_t AccountPriority = 0;
+  /// The share of the account among those of the same priority, above zero.
+  double AccountWeight = 1;
   /// Zero is the most urgent.
   std::uint32_t Priority = 0;
   time_point RequestedAt;
--- a/src/libs/entry_host/header_names.h
+++ b/src/libs/entry_host/header_names.h
@@ -24,6 +24,8 @@
   std::string RateLimit;
   /// Present on the responses of a backend server that is shutting down.
   std::string Leaving;
+  /// Names the client account of a request to the backend server.
+  std::string Account;
   bool operator==(const header_names &) const = default;
 };
 
--- a/src/libs/entry_host/host_settings.h
+++ b/src/libs/entry_host/host_settings.h
@@ -2,6 +2,7 @@
 /// The settings of an entry host's process.
 #pragma once
 
+#include "accounts/client_account.h"
 #include "allocation/retry_window.h"
 #include "membership/view_relays.h"
 #include "utils/address.h"
@@ -34,6 +35,7 @@
   /// Time after SIGTERM within which the process exits.
   duration GracePeriod = seconds(6);
   retry_limits Retries;
+  quota_tolerance Quotas;
   relay_policy Relays;
   bool operator==(const host_settings &) const = default;
 };
--- a/src/libs/entry_host/request_proxy.cpp
+++ b/src/libs/entry_host/request_proxy.cpp
@@ -55,6 +55,12 @@
 
 using attempt_pointer = std::shared_ptr<attempt>;
 
+// An account without a limit counts like one with a limit of one request per
+// second.
+double accountWeight(const account_quota &Quota) {
+  return Quota.RequestsPerSecond > 0 ? Quota.RequestsPerSecond : 1;
+}
+
 class request_proxy : public std::enable_shared_from_this<request_proxy> {
 public:
   request_proxy(proxy_environment &Environment, proxied_request Request,
@@ -242,6 +248,11 @@
     SlotRequest.RequestClass = Request.Route.Name;
     SlotRequest.Idempotent = Request.Route.Idempotent;
     SlotRequest.Priority = Request.Route.Priority;
+    if (Request.Account) {
+      SlotRequest.Account = Request.Account->Name;
+      SlotRequest.AccountPriority = Request.Account->Priority;
+      SlotRequest.AccountWeight = accountWeight(Request.Account->Quota);
+    }
     SlotRequest.Target = Request.Start + Request.Route.TargetLatency;
     SlotRequest.Deadline = Deadline;
     SlotRequest.RetryReason = Attempt.Repeat;
--- a/src/libs/entry_host/request_proxy.h
+++ b/src/libs/entry_host/request_proxy.h
@@ -62,6 +62,8 @@
 /// A request with the route that it matched.
 struct proxied_request {
   http_request Message;
+  /// Nothing if the request has no client account.
+  std::optional<request_account> Account;
   route_rule Route;
   std::string Service;
   std::uint64_t ConfigVersion = 0;
--- a/src/libs/entry_host/slot_wire.cpp
+++ b/src/libs/entry_host/slot_wire.cpp
@@ -72,6 +72,10 @@
   Value.unreachable = Request.Unreachable;
   for (const known_backend_report &Known : Request.KnownReports)
     Value.known_reports.push_back(toWire(Known, Now));
+  Value.account = Request.Account;
+  Value.account_priority =
+      static_cast<std::uint8_t>(std::min(Request.AccountPriority, 255U));
+  Value.account_weight = static_cast<float>(Request.AccountWeight);
   return Value;
 }
 
@@ -91,6 +95,11 @@
   Request.Unreachable = Value.unreachable;
   for (const auto &Entry : Value.known_reports)
     Request.KnownReports.push_back(fromWire(*Entry, Now));
+  Request.Account = Value.account;
+  Request.AccountPriority = Value.account_priority;
+  const bool WeightIsValid =
+      std::isfinite(Value.account_weight) && Value.account_weight > 0;
+  Request.AccountWeight = WeightIsValid ? Value.account_weight : 1;
   return Request;
 }
 
--- a/src/libs/routing/routing_config.h
+++ b/src/libs/routing/routing_config.h
@@ -3,6 +3,7 @@
 /// to share between threads once built.
 #pragma once
 
+#include "accounts/client_account.h"
 #include "utils/clock.h"
 
 #include <cstdint>
@@ -37,6 +38,9 @@
   std::uint32_t MaxAttempts = 1;
   /// Zero is the highest priority.
   std::uint32_t Priority = 0;
+  /// Whether the route serves requests without a client account. Has no meaning
+  /// if the configuration has no accounts.
+  bool AllowAnonymous = false;
   std::vector<weighted_service> Services;
   bool operator==(const route_rule &) const = default;
 };
@@ -66,6 +70,8 @@
   std::uint64_t Version = 0;
   std::vector<route_rule> Routes;
   std::vector<service_config> Services;
+  /// Empty if requests need no client account.
+  std::vector<client_account> Accounts;
   caller_bounds Bounds;
   bool operator==(const routing_config &) const = default;
 };
