Entry host: Require keys and pass the account's name on

Requests were served whoever sent them, and a caller could set the header of the account itself. If the configuration has accounts, serve() now decides access after the route is found: 401, 503 if the configuration is not confirmed as the newest, or the account's name in header_names::Account. Authorization and the caller's own account header are removed. The name is set after the headers that Connection lists are removed, since the caller could list it there.

A request in progress is decided again when other rules come into force: at once, and before each attempt is sent. If it is refused and provably not run, it gets 401 and its slot goes back; otherwise it is finished without another attempt.

configIsCurrent() is false while another host has announced a newer version. A host answered no-route with 404 in that time, and would have answered 401.

Keys in readable form are dropped from the configurations that route_index and fleet_view keep. fleet_view still holds the text of the document, which it hands to other hosts.

--- a/src/libs/entry_host/entry_host.cpp
+++ b/src/libs/entry_host/entry_host.cpp
@@ -1,5 +1,6 @@
 #include "entry_host/entry_host.h"
 
+#include "entry_host/caller_access.h"
 #include "utils/hash.h"
 #include "utils/log.h"
 
@@ -97,7 +98,9 @@
           Context, {},
           [this](http_request Request, std::shared_ptr<peer_connection>) {
             return serveOperatorRequest(std::move(Request));
-          }) {}
+          }) {
+  ProxyEnvironment.ConfigIsCurrent = [this] { return View.configIsCurrent(); };
+}
 
 result<void> entry_host::start() {
   const result<void> PeersListen =
@@ -136,9 +139,14 @@
 }
 
 void entry_host::applyConfig(const routing_config &Config) {
-  Routes.emplace(Config, stableHash(Settings.Host, Config.Version));
+  Routes = std::make_shared<route_index>(
+      Config, stableHash(Settings.Host, Config.Version));
   ConfigVersion = Config.Version;
   CallerServer.setBounds(Config.Bounds);
+  applyAccessRules(ProxyEnvironment,
+                   {Config.Version,
+                    account_directory(Config.Accounts, KeySecret), Routes,
+                    KeySecret});
 }
 
 asio::awaitable<http_response>
@@ -166,10 +174,14 @@
   }
   proxied_request Proxied;
   Proxied.Route = *Route;
-  Proxied.Service = Routes->nextService(*Route);
   Proxied.ConfigVersion = ConfigVersion;
   Proxied.Start = Clock.now();
   Proxied.Message = std::move(Request);
+  const access_decision Access = checkAccess(ProxyEnvironment, Proxied);
+  if (Access.Verdict != access_verdict::Allowed)
+    co_return refuseAccess(ProxyEnvironment, Proxied, Access);
+  // Nothing may suspend before this, as a new configuration replaces Routes.
+  Proxied.Service = Routes->nextService(*Route);
   co_return co_await proxyRequest(ProxyEnvironment, std::move(Proxied),
                                   std::move(Caller));
 }
@@ -235,6 +247,9 @@
   return {{"host", Settings.Host},
           {"zone", Settings.Zone},
           {"leaving", Leaving},
+          {"accounts", ProxyEnvironment.Access
+                           ? ProxyEnvironment.Access->Accounts.accountCount()
+                           : 0},
           {"caller_connections", CallerServer.connectionCount()},
           {"requests_in_flight", CallerServer.requestsInFlight()},
           {"backend_connections_idle", Client.idleConnectionCount()},
--- a/src/libs/entry_host/entry_host.h
+++ b/src/libs/entry_host/entry_host.h
@@ -69,7 +69,9 @@
   caller_server CallerServer;
   http_server ReadinessServer;
   http_server OperatorServer;
-  std::optional<route_index> Routes;
+  /// Null before the first configuration.
+  std::shared_ptr<route_index> Routes;
+  const key_secret KeySecret = makeKeySecret();
   std::uint64_t ConfigVersion = 0;
   bool Leaving = false;
 };
--- a/src/libs/entry_host/fleet_view.cpp
+++ b/src/libs/entry_host/fleet_view.cpp
@@ -133,7 +133,8 @@
 bool fleet_view::isStale() const { return age() > StaleAfter; }
 
 bool fleet_view::configIsCurrent() const {
-  return ConfigConfirmedAt && configAge() < ConfigConfirmationMaxAge;
+  return ConfigConfirmedAt && AnnouncedVersion <= configVersion() &&
+         configAge() < ConfigConfirmationMaxAge;
 }
 
 std::string fleet_view::readerHost() const {
@@ -261,7 +262,10 @@
   logEvent(log_level::Info, "config-in-force",
            {{"version", Config->Version},
             {"position", Origin},
-            {"routes", Config->Routes.size()}});
+            {"routes", Config->Routes.size()},
+            {"accounts", Config->Accounts.size()}});
+  // The handler holds the accounts, with their keys as hashes only.
+  Config->Accounts.clear();
   pushAll();
 }
 
--- a/src/libs/entry_host/fleet_view.h
+++ b/src/libs/entry_host/fleet_view.h
@@ -49,8 +49,8 @@
   /// Handles a message about the view. \returns false if \p Message is not one.
   bool receive(const link_pointer &Link, const envelope &Message);
 
-  /// \returns whether a configuration is known and was recently confirmed to be
-  /// the newest one.
+  /// \returns whether a configuration is known, was recently confirmed to be
+  /// the newest one, and no other host has announced a newer one since.
   [[nodiscard]] bool configIsCurrent() const;
 
   /// \returns whether a configuration and a list of backend servers are known.
--- a/src/libs/entry_host/request_proxy.cpp
+++ b/src/libs/entry_host/request_proxy.cpp
@@ -1,6 +1,7 @@
 #include "entry_host/request_proxy.h"
 
 #include "entry_host/attempt_classification.h"
+#include "entry_host/caller_access.h"
 #include "utils/log.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -87,6 +88,7 @@
     if (endsInService())
       startAttempt(retry_reason::None);
     for (;;) {
+      recheckAccess();
       if (acceptedAttempt() || shouldStop())
         break;
       if (!anyInProgress()) {
@@ -129,6 +131,22 @@
     return !Environment.ServiceEnd || Deadline <= *Environment.ServiceEnd;
   }
 
+  // Decides again on the request if other rules came into force.
+  void recheckAccess() {
+    if (Request.CheckedBy != Environment.Access)
+      Access = checkAccess(Environment, Request);
+  }
+
+  [[nodiscard]] bool isRefused() const {
+    return Access.Verdict != access_verdict::Allowed;
+  }
+
+  // Whether the request may be sent to another backend server.
+  [[nodiscard]] bool maySend() {
+    recheckAccess();
+    return !Finished && !isRefused() && now() < Deadline && endsInService();
+  }
+
   // Whether it is certain that no backend server has run the request.
   [[nodiscard]] bool isNotRun() const {
     return std::ranges::all_of(Attempts, [](const attempt_pointer &Each) {
@@ -142,7 +160,7 @@
   [[nodiscard]] bool shouldStop() const {
     if (now() >= Deadline)
       return true;
-    if (isNotRun() && !endsInService())
+    if (isNotRun() && (isRefused() || !endsInService()))
       return true;
     return Caller->Disconnected && (Request.Route.Idempotent || isNotRun());
   }
@@ -169,7 +187,7 @@
   }
 
   [[nodiscard]] bool mayRetry() const {
-    if (!endsInService())
+    if (isRefused() || !endsInService())
       return false;
     const attempt &Last = *Attempts.back();
     if (Last.State == attempt_state::SlotRefused &&
@@ -203,7 +221,8 @@
   }
 
   [[nodiscard]] const attempt *hedgeCandidate() const {
-    if (!Request.Route.Idempotent || HedgeStarted || !endsInService())
+    if (!Request.Route.Idempotent || HedgeStarted || isRefused() ||
+        !endsInService())
       return nullptr;
     const attempt *Open = nullptr;
     for (const attempt_pointer &Each : Attempts) {
@@ -275,7 +294,7 @@
     Attempt->SlotId = Attempt->Slot.Key.Id;
     if (Attempt->Slot.Verdict != slot_verdict::Granted) {
       Attempt->State = attempt_state::SlotRefused;
-    } else if (Finished || now() >= Deadline || !endsInService()) {
+    } else if (!maySend()) {
       Environment.Slots.release(Attempt->SlotId, slot_outcome::NotUsed, {});
       Attempt->State = attempt_state::SlotRefused;
     } else {
@@ -292,6 +311,10 @@
               std::to_string(std::max<std::int64_t>(1, RemainingMs)));
     setHeader(Message.Headers, Environment.Names.TargetBackend,
               Attempt.Slot.Backend);
+    // Set last, as the caller may have listed the header in Connection.
+    if (Request.Account)
+      setHeader(Message.Headers, Environment.Names.Account,
+                Request.Account->Name);
     return Message;
   }
 
@@ -381,6 +404,8 @@
       return makeErrorResponse(status::GatewayTimeout, "timeout");
     if (MayHaveRun)
       return makeErrorResponse(status::BadGateway, lastFailureReason());
+    if (isRefused())
+      return makeAccessRefusal();
     if (!endsInService())
       return makeRefusal(HostLeavingReason, LeavingRetryAfter);
     const slot_answer &Slot = Attempts.back()->Slot;
@@ -397,6 +422,11 @@
     return Response;
   }
 
+  http_response makeAccessRefusal() {
+    FinalReason = std::string(accessRefusalName(Access.Refusal));
+    return refuseAccess(Environment, Request, Access);
+  }
+
   [[nodiscard]] std::string_view lastFailureReason() const {
     for (const attempt_pointer &Each : std::views::reverse(Attempts))
       if (Each->State == attempt_state::Failed)
@@ -432,6 +462,7 @@
              {{"request_id", RequestId},
               {"route", Request.Route.Name},
               {"service", Request.Service},
+              {"account", Request.Account ? Request.Account->Name : ""},
               {"idempotent", Request.Route.Idempotent},
               {"config_version", Request.ConfigVersion},
               {"status", Response.Status},
@@ -455,6 +486,8 @@
   std::string RequestId;
   time_point Deadline;
   std::vector<attempt_pointer> Attempts;
+  /// The last decision of recheckAccess().
+  access_decision Access;
   std::string FinalReason;
   bool HedgeStarted = false;
   bool Finished = false;
@@ -486,6 +519,10 @@
 
 void endService(proxy_environment &Environment, time_point ServiceEnd) {
   Environment.ServiceEnd = ServiceEnd;
+  wakeRequests(Environment);
+}
+
+void wakeRequests(proxy_environment &Environment) {
   for (asio::steady_timer *Wakeup : *Environment.Wakeups)
     Wakeup->cancel();
 }
--- a/src/libs/routing/route_index.cpp
+++ b/src/libs/routing/route_index.cpp
@@ -31,6 +31,8 @@
 
 route_index::route_index(const routing_config &Config, std::uint64_t Seed)
     : Config(Config) {
+  // The index needs no accounts, and their keys are secrets.
+  this->Config.Accounts.clear();
   for (std::size_t Index = 0; Index < Config.Routes.size(); ++Index) {
     const route_rule &Route = Config.Routes[Index];
     ByHostAndPrefix.emplace(indexKey(Route.Host, Route.PathPrefix), Index);
--- a/tests/auto/entry_host/fleet_fixture.h
+++ b/tests/auto/entry_host/fleet_fixture.h
@@ -25,8 +25,13 @@
 namespace coriandertray::testing {
 
 const header_names TestNames = {
-    "Test-Request-Id", "Test-Deadline-Ms", "Test-Signature",  "Test-Target",
-    "Test-Load",       "Test-Not-Run",     "Test-Rate-Limit", "Test-Leaving"};
+    "Test-Request-Id", "Test-Deadline-Ms", "Test-Signature",
+    "Test-Target",     "Test-Load",        "Test-Not-Run",
+    "Test-Rate-Limit", "Test-Leaving",     "Test-Account"};
+
+/// The level of the log lines that the test program writes; set it before the
+/// first fleet_fixture is built.
+inline log_level TestLogLevel = log_level::Error;
 
 /// A platform that keeps its objects in memory.
 class in_memory_platform final : public platform_port {
@@ -237,7 +242,7 @@
                          std::uint64_t MemoryBytes = 160U << 20U)
       : Relays(Relays), MemoryBytes(MemoryBytes) {
     static const bool Quiet = [] {
-      startLogging("test", "", log_level::Error);
+      startLogging("test", "", TestLogLevel);
       return true;
     }();
     REQUIRE(Quiet);
