--- a/tests/auto/platform/tst_decoding.cpp
+++ b/tests/auto/platform/tst_decoding.cpp
@@ -154,17 +154,17 @@
   FailsWith("name", " a");
   FailsWith("name", json::string(300, 'a'));
   FailsWith("api_keys", "QZQZ");
-  FailsWith("api_keys", {"ZZZZ"});
+  FailsWith("api_keys", json::array{"ZZZZ"});
   for (const char *Key : {"", "Q Z", "QZ\n", "\xc3\xa4Q", "Q\x7f"})
-    FailsWith("api_keys", {"QZ", Key});
-  FailsWith("api_keys", {json::object{{"QZ", "QZ"}}});
+    FailsWith("api_keys", json::array{"QZ", Key});
+  FailsWith("api_keys", json::array{json::object{{"QZ", "QZ"}}});
   FailsWith("rate_per_s", -0.5);
   FailsWith("rate_per_s", "QZ");
   FailsWith("burst", -1);
   FailsWith("burst", nullptr);
   FailsWith("priority", -1);
   for (const json::value &Accounts :
-       {json::value(nullptr), json::value("QZ"), json::value({"QZ"}),
+       {json::value(nullptr), json::value("QZ"), json::value(json::array{"QZ"}),
         json::value(json::object{{"QZ", 1}})}) {
     const auto Config = platform::decodeConfig(configWithAccounts(Accounts));
     REQUIRE_FALSE(Config);
