Entry host: Test that a removed key prevents hedges

The retry test covers attempts after a failure only. With the key kept, the case sees two requests at the backend servers; with the key removed, one. tst_fleet_accounts: 14 cases, 193 assertions, passed.

--- a/tests/auto/entry_host/tst_fleet_accounts.cpp
+++ b/tests/auto/entry_host/tst_fleet_accounts.cpp
@@ -498,6 +498,30 @@
   }
 }
 
+// Guards against: a hedge with a key that was removed after the first attempt.
+TEST_CASE("a removed key prevents hedges") {
+  for (const bool Removed : {false, true}) {
+    CAPTURE(Removed);
+    fleet_fixture Fleet;
+    scripted_backend &First = Fleet.addBackend(respondAfter800Ms);
+    scripted_backend &Second = Fleet.addBackend(respondAfter800Ms);
+    configure(Fleet);
+    Fleet.run([&]() -> asio::awaitable<void> {
+      background_request Request;
+      Request.Text = request("/read/x", bearer("key-1"));
+      start(Fleet, Request);
+      co_await pauseFor(milliseconds(20));
+      if (Removed)
+        Fleet.Platform.Config.Accounts[0].Keys.clear();
+      publish(Fleet);
+      co_await await(Request);
+      CHECK(Fleet.statusOf(Request.Response) == 200);
+      CHECK(First.Requests.size() + Second.Requests.size() ==
+            (Removed ? 1U : 2U));
+    });
+  }
+}
+
 // Guards against: 401 for a key that a newer version, which this host has
 // missed, may have added; and an outage for keys that are known.
 TEST_CASE("a host without a confirmed configuration answers 503 and not 401") {
