Allocation: Order the queue by what callers lose, reject early

The allocator served queued requests by priority and target, estimated the wait only on arrival, and rejected a queued request only when it could not end in time even if it started at once.

The queue is now ordered by admission_order. The wait on arrival counts only the requests that would be served before the new one. Each pass over the queue estimates when each request would start behind those that stay before it and rejects those that would end after their deadline. Rejected callers return by return_schedule.

--- a/src/libs/allocation/slot_allocator.h
+++ b/src/libs/allocation/slot_allocator.h
@@ -3,14 +3,17 @@
 /// hosts.
 ///
 /// Demand may exceed what the healthy servers can carry. In that case the most
-/// urgent requests go first, and a request that cannot be served in time is
-/// refused immediately.
+/// urgent requests go first (see admission_order.h), and a request that cannot
+/// be served in time is refused as soon as this is known.
 #pragma once
 
+#include "allocation/admission_counts.h"
 #include "allocation/backend_record.h"
+#include "allocation/fair_share.h"
 #include "allocation/latency_profile.h"
 #include "allocation/placement.h"
 #include "allocation/retry_window.h"
+#include "allocation/return_schedule.h"
 #include "allocation/slot_messages.h"
 #include "discovery/backend_registration.h"
 #include "utils/clock.h"
@@ -52,6 +55,11 @@
   /// Index into Profiles by request class.
   std::map<std::string, std::size_t> ProfileIndices;
   retry_window RetryWindow;
+  /// What the accounts have received.
+  fair_share Shares;
+  /// When the callers of refused requests return.
+  return_schedule Returns;
+  admission_counts Counts;
   /// The part of each rate limit that this allocator uses, see setRole().
   double RateLimitShare = 1;
   /// When the first list of backend servers arrived.
@@ -86,8 +94,9 @@
 void adoptLease(slot_allocator &State, const slot_lease_report &Report,
                 time_point Now);
 
-/// Grants slots to queued requests where possible, and refuses those that can
-/// no longer meet their deadline. \returns the grants and refusals.
+/// Grants slots to queued requests where possible, and refuses those that are
+/// expected to end after their deadline behind the requests before them.
+/// \returns the grants and refusals.
 [[nodiscard]] std::vector<slot_answer> processQueue(slot_allocator &State,
                                                     time_point Now);
 
--- a/src/libs/allocation/slot_messages.h
+++ b/src/libs/allocation/slot_messages.h
@@ -89,6 +89,17 @@
 /// request.
 inline constexpr std::string_view NoServerReason = "no-server";
 
+/// The reason of a refusal because the requests before it would delay the
+/// request for too long.
+inline constexpr std::string_view OverloadedReason = "overloaded";
+
+/// The reason of a refusal because the request would miss its deadline even if
+/// it started at once.
+inline constexpr std::string_view DeadlineReason = "deadline";
+
+/// The reason of a refusal because the budget for retries is used up.
+inline constexpr std::string_view RetryBudgetReason = "retry-budget";
+
 /// \returns a refusal of the request \p Key with PoolUnknownReason.
 [[nodiscard]] slot_answer makeUnknownPoolRefusal(const slot_key &Key);
 
--- a/tests/auto/allocation/tst_slot_allocator.cpp
+++ b/tests/auto/allocation/tst_slot_allocator.cpp
@@ -1,4 +1,4 @@
-#include "allocation_fixture.h"
+#include "load_simulation.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -9,82 +9,6 @@
 using namespace coriandertray;
 using namespace coriandertray::testing;
 
-namespace {
-
-constexpr duration RequestDuration = milliseconds(200);
-
-/// Simulates a steady load on an allocator. Servers in HungServers never
-/// answer.
-struct load_simulation {
-  slot_allocator State;
-  time_point Now{std::chrono::hours(1)};
-  std::uint64_t NextId = 1;
-  std::set<std::string> HungServers;
-  std::map<std::string, int> Granted;
-  int Lost = 0;
-  int Served = 0;
-  int Refused = 0;
-
-  struct in_flight_request {
-    slot_key Key;
-    std::string Backend;
-    time_point End;
-    bool Silent;
-  };
-  std::vector<in_flight_request> InFlight;
-
-  void startRequest(const slot_answer &Answer) {
-    ++Granted[Answer.Backend];
-    const bool Silent = HungServers.contains(Answer.Backend);
-    InFlight.push_back({Answer.Key, Answer.Backend,
-                        Now + (Silent ? duration(seconds(2)) : RequestDuration),
-                        Silent});
-  }
-
-  void handleAnswer(const slot_answer &Answer) {
-    if (Answer.Verdict == slot_verdict::Granted)
-      startRequest(Answer);
-    Refused += Answer.Verdict == slot_verdict::Refused ? 1 : 0;
-  }
-
-  void finishDueRequests() {
-    std::vector<in_flight_request> Left;
-    for (const in_flight_request &Each : InFlight) {
-      if (Each.End > Now) {
-        Left.push_back(Each);
-        continue;
-      }
-      (Each.Silent ? Lost : Served) += 1;
-      releaseSlot(State,
-                  {Each.Key,
-                   Each.Silent ? slot_outcome::Silent : slot_outcome::Succeeded,
-                   Each.Silent ? duration(seconds(2)) : RequestDuration},
-                  Now);
-    }
-    InFlight = std::move(Left);
-  }
-
-  void run(duration Length, duration Interval, bool Idempotent = false) {
-    const time_point End = Now + Length;
-    constexpr duration Step = milliseconds(10);
-    time_point NextArrival = Now;
-    while (Now < End) {
-      finishDueRequests();
-      for (const slot_answer &Answer : processQueue(State, Now))
-        handleAnswer(Answer);
-      if (Now >= NextArrival) {
-        NextArrival += Interval;
-        handleAnswer(
-            requestSlot(State, makeRequest(NextId++, Now, Idempotent), Now));
-      }
-      (void)takeSuspicionChanges(State, Now);
-      Now += Step;
-    }
-  }
-};
-
-} // namespace
-
 TEST_CASE("every server that joins under light load gets a request") {
   load_simulation Simulation;
   std::vector<backend_registration> Servers = makeServers(16);
