Slot broker: Dump the admission decisions

Operators could not tell from the state of a host why an allocator delayed or rejected requests. The dump now has the counts of each allocator.

--- a/src/libs/entry_host/slot_broker.cpp
+++ b/src/libs/entry_host/slot_broker.cpp
@@ -45,6 +45,19 @@
   return (std::uint64_t{Random()} << Half) + Random();
 }
 
+json::object toJson(const rejection_counts &Counts) {
+  return {{"overloaded", Counts.Overloaded},
+          {"deadline", Counts.Deadline},
+          {"no_server", Counts.NoServer},
+          {"retry_budget", Counts.RetryBudget}};
+}
+
+json::object toJson(const admission_counts &Counts) {
+  return {{"delayed", Counts.Delayed},
+          {"rejected_on_arrival", toJson(Counts.OnArrival)},
+          {"rejected_while_queued", toJson(Counts.WhileQueued)}};
+}
+
 } // namespace
 
 void giveUp(slot_wait &Wait) {
@@ -444,6 +457,7 @@
                          {"hosts_held_off", Backend.Holds.size()},
                          {"sick_probability", Backend.FailureProbability}});
     Allocated[Pool] = json::object{{"waiting", State.Queue.size()},
+                                   {"admission", toJson(State.Counts)},
                                    {"rate_limit_share", State.RateLimitShare},
                                    {"backend_servers", std::move(Servers)}};
   }
