Allocation: Let successes of servers with many slots count for more

A queue of some 40 requests waited for the few servers that it trusted.

Cause: each request in flight adds the evidence that it has not been answered yet. At a server with six slots ordinary requests add up to 2 to 4 log odds at any moment, and the estimate could not go below -4, however many successes there had been. What was ruled out: slow hosts (the late share of the hosts with a narrow link was 0.3 to 0.47, of all 0.17 to 0.25; attributing lateness to hosts changed nothing), and pauses after rejections.

Change: the lower bound grows with the slots. Up to three slots nothing changes.

tst_placement, "healthy servers that are nearly full are not suspected": red with the fixed bound, green now; a server with six slots that hangs is still suspected within a second.

--- a/src/libs/allocation/backend_record.cpp
+++ b/src/libs/allocation/backend_record.cpp
@@ -79,26 +79,26 @@
                    const slot_release &Release, const latency_profile &Profile,
                    double PriorLogOdds, time_point Now) {
   const double Survival = survivalAt(Profile, Release.Elapsed);
+  const auto Add = [&](double Weight) {
+    addEvidence(Backend.FailureEstimate, Weight, Backend.Registration.Slots,
+                PriorLogOdds, Now);
+  };
   switch (Release.Outcome) {
   case slot_outcome::Succeeded:
     Backend.ConsecutiveRejections = 0;
-    addEvidence(Backend.FailureEstimate, successWeight(Survival), PriorLogOdds,
-                Now);
+    Add(successWeight(Survival));
     return;
   case slot_outcome::Failed:
     Backend.LastFailureAt = Now;
-    addEvidence(Backend.FailureEstimate, evidence_weight::Failure, PriorLogOdds,
-                Now);
+    Add(evidence_weight::Failure);
     return;
   case slot_outcome::Silent:
     Backend.LastFailureAt = Now;
-    addEvidence(Backend.FailureEstimate, noResponseWeight(Survival),
-                PriorLogOdds, Now);
+    Add(noResponseWeight(Survival));
     return;
   case slot_outcome::Unreachable:
     returnToken(Backend.RateLimiter, Now);
-    addEvidence(Backend.FailureEstimate, evidence_weight::Unreachable,
-                PriorLogOdds, Now);
+    Add(evidence_weight::Unreachable);
     awaitFirstRequestAgain(Backend, Lease, Now);
     return;
   case slot_outcome::Full:
@@ -107,8 +107,7 @@
     Backend.BackoffUntil =
         std::max(Backend.BackoffUntil,
                  Now + RejectionBackoffStep * Backend.ConsecutiveRejections);
-    addEvidence(Backend.FailureEstimate, evidence_weight::Full, PriorLogOdds,
-                Now);
+    Add(evidence_weight::Full);
     return;
   case slot_outcome::Misdirected:
     Backend.Misdirected = true;
--- a/src/libs/allocation/failure_estimate.cpp
+++ b/src/libs/allocation/failure_estimate.cpp
@@ -9,8 +9,12 @@
 
 // The share of requests that a failing server is assumed to lose.
 constexpr double FailingServerLossRate = 0.75;
-// The bounds limit how much new evidence it takes to reverse an estimate.
+// The bounds limit how much new evidence it takes to reverse an estimate. The
+// lower one is for a server with up to BaseSlots slots and grows with them: the
+// ordinary requests in flight at a busy server add up to some log odds each
+// moment, which would outweigh a fixed bound.
 constexpr double MinLogOdds = -4.0;
+constexpr double BaseSlots = 3.0;
 constexpr double MaxLogOdds = 5.0;
 // Time constant of the decay of evidence, in seconds, because gray failures
 // last for seconds.
@@ -33,10 +37,11 @@
   return PriorLogOdds + (Estimate.LogOdds - PriorLogOdds) * Retained;
 }
 
-void addEvidence(failure_estimate &Estimate, double Weight, double PriorLogOdds,
-                 time_point Now) {
+void addEvidence(failure_estimate &Estimate, double Weight, std::uint32_t Slots,
+                 double PriorLogOdds, time_point Now) {
   const double Decayed = decayedLogOdds(Estimate, PriorLogOdds, Now);
-  Estimate.LogOdds = std::clamp(Decayed + Weight, MinLogOdds, MaxLogOdds);
+  const double Lowest = MinLogOdds * std::max(1.0, Slots / BaseSlots);
+  Estimate.LogOdds = std::clamp(Decayed + Weight, Lowest, MaxLogOdds);
   Estimate.UpdatedAt = Now;
 }
 
--- a/src/libs/allocation/failure_estimate.h
+++ b/src/libs/allocation/failure_estimate.h
@@ -6,6 +6,8 @@
 
 #include "utils/clock.h"
 
+#include <cstdint>
+
 namespace coriandertray {
 
 /// Plain state; not thread-safe.
@@ -26,9 +28,11 @@
                                     double PriorLogOdds, time_point Now);
 
 /// Adds evidence with the given \p Weight, which is positive if the evidence
-/// suggests a failing server.
-void addEvidence(failure_estimate &Estimate, double Weight, double PriorLogOdds,
-                 time_point Now);
+/// suggests a failing server. \p Slots is the number of requests that the
+/// server runs at a time: each of them counts while it is in flight, so the
+/// more there are, the further successes may lower the estimate.
+void addEvidence(failure_estimate &Estimate, double Weight, std::uint32_t Slots,
+                 double PriorLogOdds, time_point Now);
 
 /// \returns the weight of a request that has not been answered yet, when only
 /// \p Survival of the requests at healthy servers take that long.
