--- a/src/libs/allocation/slot_allocator.cpp
+++ b/src/libs/allocation/slot_allocator.cpp
@@ -83,7 +83,8 @@
     return tryHedge(State, Request, Now);
   const std::optional<placement_candidate> Best =
       findCheapestBackend(State.Backends, Request, State.Policy, Now);
-  if (!Best || Best->Cost > maxAcceptableCost(Request, State.Policy, Now))
+  if (!Best || Best->Cost - Best->ZoneCost >
+                   maxAcceptableCost(Request, State.Policy, Now))
     return std::nullopt;
   return grant(State, *Best->Backend, Request, Share, Now);
 }
