Soak: Learn client accounts, quotas and overload

The soak had no accounts, so nothing checked with real processes that a backend server gets the right account and no key, that keys without an account do not run, that quotas hold over all hosts, or that no valid key gets 401.

--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -10,6 +10,9 @@
 SLOTS = 3
 QUEUE_LIMIT = 4
 HEARTBEAT_S = 1.5
+# Mean work in an overload. With the default options the usual load then uses
+# half of the slots, and twice the load all of them.
+OVERLOAD_WORK_S = 0.4
 
 
 def signature(request_id, instance):
@@ -28,6 +31,8 @@
 
     def __init__(self):
         self.executions = []
+        # Each (request, server), also of requests that the server refuses.
+        self.received = []
         self.arrivals = []
         self.responses = {}
         # The framing of each response, and whether it was truncated.
@@ -130,6 +135,7 @@
                 request = await messages.read_message(reader)
                 if request is None:
                     break
+                self.soak.execution_log.received.append((request, self))
                 if last_refusal and self.draw_fault("repeat"):
                     writer.write(last_refusal)
                 refusal = self.refuse(request)
@@ -195,6 +201,8 @@
         random = self.soak.random
         # Long enough to keep the hosts of a crowded zone busy until they exit.
         mean_work_s = 0.15 if self.soak.crowded_zone else 0.05
+        if self.soak.overloaded:
+            mean_work_s = OVERLOAD_WORK_S
         work_s = random.expovariate(1 / mean_work_s)
         if random.random() < 0.02:
             work_s = random.uniform(0.5, 1.5)
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -15,6 +15,10 @@
     "CORIANDERTRAY_BIN", ROOT / "build" / "bin")) / "coriandertray-host"
 GRACE_PERIOD_S = 6.0
 ZONES = ("a", "b", "c")
+# By how much an account may exceed its quota; see the design page of accounts.
+QUOTA_WINDOW_S = 5.0
+QUOTA_OVERSHOOT = 0.1
+QUOTA_SLACK = 20
 
 
 class Host:
@@ -64,6 +68,8 @@
             "grace_period": f"{GRACE_PERIOD_S:g}s",
             "retry_ratio": 0.2, "retry_window": "10s",
             "retry_slack": self.soak.retry_slack,
+            "quota_window": f"{QUOTA_WINDOW_S:g}s",
+            "quota_overshoot": QUOTA_OVERSHOOT, "quota_slack": QUOTA_SLACK,
             "platform": self.store_link.listen}
         (self.folder / "settings.json").write_text(json.dumps(settings))
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -55,6 +55,7 @@
         self.burst = 1.0
         # The zone from which all callers come, if any.
         self.crowded_zone = None
+        self.overloaded = False
         self.stopping = False
         self.callers_stopping = False
         self.recovery_start = self.recovery_end = float("inf")
@@ -127,6 +128,7 @@
             return
         call = self.callers.create_call(f"/added-{added}/x", "GET", True, host,
                                         False)
+        self.callers.use_steady_key(call)
         await self.callers.exchange(connection, [call])
         known = added in self.config.added
         is_fault_free = self.checks.is_fault_free(host, acknowledged,
@@ -172,6 +174,9 @@
             await self.start()
             callers = asyncio.ensure_future(
                 self.callers.run(self.options.rate))
+            if self.config.accounts:
+                self.tasks.append(asyncio.ensure_future(
+                    self.config.accounts.run()))
             await asyncio.sleep(3)
             await Faults(self, self.seed).run(self.options.minutes * 60)
             self.log("faults are over")
