Accounts: Decide on the requests of quotas at their owner

A quota holds over all hosts only if one host counts the requests of an account, and if other hosts that count in its place grant no more than the tolerated excess. quota_bucket holds the tokens of one account and the record of when a host owned them; quota_owner holds the buckets of a host and grants as owner, as stand-in or on its own.

A time in which the process or the system did not run, or in which another host was the owner, adds no tokens, and the level is limited to the burst less what accrued meanwhile. So two owners in turn hold one burst together, without any report from the hosts that ask. A report of grants elsewhere limits what has accrued, not the credit of a new owner. A new owner begins with a quarter of the tolerated excess rather than with half, so that two changes of the owner within a window stay within the half.

Each of these defects was seen to fail at least one case: a pause is credited; only the steady clock is used; a gap does not limit the level; reports are ignored; new buckets are full; stand-ins grant without their limit; promised returns are not counted; an older version replaces the quota; invalid quotas are accepted; buckets begin when first asked; idle buckets are kept.

--- /dev/null
+++ b/src/libs/accounts/quota_owner.cpp
@@ -0,0 +1,186 @@
+#include "accounts/quota_owner.h"
+
+#include <algorithm>
+#include <ranges>
+#include <utility>
+
+namespace coriandertray {
+
+namespace {
+
+constexpr double StandInShare = 0.25;
+constexpr double OnItsOwnShare = 0.25;
+// Bounds the memory for accounts that other hosts name.
+constexpr std::size_t MaxBuckets = 1U << 14U;
+constexpr duration IdleTime = seconds(60);
+// Callers wait for a fraction of a request's time limit at most, so a later
+// time has no use.
+constexpr duration MaxRetryAfter = seconds(5);
+
+quota_grant grantAsOwner(quota_owner &State, const std::string &Duty,
+                         const quota_ask &Ask, time_point Now) {
+  setOwned(State, Duty, true, Now);
+  const ownership &Record = State.Ownerships[Duty];
+  if (!State.Buckets.contains(Ask.Account) &&
+      State.Buckets.size() >= MaxBuckets)
+    return {0, MaxRetryAfter};
+  quota_bucket &Bucket =
+      State.Buckets
+          .try_emplace(Ask.Account, makeBucket(Ask.Quota, Ask.ConfigVersion,
+                                               State.Tolerance, Record.Since))
+          .first->second;
+  advanceBucket(Bucket, Record, State.Tolerance, Now);
+  updateQuota(Bucket, Ask.Quota, Ask.ConfigVersion);
+  if (!isLimited(Bucket.Quota))
+    return {Ask.Count, duration::zero()};
+  if (Ask.GrantedElsewhere)
+    limitToAccrualOf(Bucket, *Ask.GrantedElsewhere);
+  return takeTokens(Bucket, Ask.Count, MaxRetryAfter, Now);
+}
+
+quota_grant grantAsStandIn(quota_owner &State, const quota_ask &Ask,
+                           time_point Now) {
+  const double Limit =
+      StandInShare * toleratedExcess(Ask.Quota, State.Tolerance);
+  return takeWithin(State.StandInGrants[Ask.Account], Ask.Count, Limit,
+                    State.Tolerance.Window, Now);
+}
+
+quota_grant grantOnItsOwn(quota_owner &State, const quota_ask &Ask,
+                          time_point Now) {
+  const double HostCount =
+      static_cast<double>(std::max<std::size_t>(1, State.HostCount));
+  const double Limit =
+      OnItsOwnShare * toleratedExcess(Ask.Quota, State.Tolerance) / HostCount;
+  return takeWithin(State.OwnGrants[Ask.Account], Ask.Count, Limit,
+                    State.Tolerance.Window, Now);
+}
+
+bool isOver(const windowed_grants &Grants, duration Window, time_point Now) {
+  return Grants.Entries.empty() || Now - Grants.Entries.back().Latest >= Window;
+}
+
+} // namespace
+
+std::string_view nameOf(quota_role Role) {
+  switch (Role) {
+  case quota_role::Owner:
+    return "owner";
+  case quota_role::StandIn:
+    return "stand-in";
+  case quota_role::OnItsOwn:
+    return "own-share";
+  }
+  return "unknown";
+}
+
+duration noteRunning(quota_owner &State, time_point Now, duration Uptime,
+                     duration MaxPause) {
+  const std::optional<time_point> Last = std::exchange(State.LastRun, Now);
+  const duration UptimeStep = Uptime - std::exchange(State.LastUptime, Uptime);
+  if (!Last)
+    return duration::zero();
+  const duration Pause = std::max(Now - *Last, UptimeStep);
+  if (Pause < MaxPause)
+    return duration::zero();
+  for (auto &[Duty, Record] : State.Ownerships)
+    if (!Record.LostAt)
+      addGap(Record, {*Last, Now, Pause});
+  return Pause;
+}
+
+void stopNotingRuns(quota_owner &State) { State.LastRun.reset(); }
+
+bool setOwned(quota_owner &State, const std::string &Duty, bool Owned,
+              time_point Now) {
+  const auto Found = State.Ownerships.find(Duty);
+  if (Found == State.Ownerships.end()) {
+    if (Owned)
+      State.Ownerships[Duty].Since = Now;
+    return Owned;
+  }
+  ownership &Record = Found->second;
+  if (Owned != Record.LostAt.has_value())
+    return false;
+  if (Owned)
+    regainOwnership(Record, Now);
+  else
+    loseOwnership(Record, Now);
+  return true;
+}
+
+void removeDuties(quota_owner &State,
+                  const std::function<bool(const std::string &)> &IsDuty) {
+  std::erase_if(State.Ownerships,
+                [&IsDuty](const auto &Entry) { return !IsDuty(Entry.first); });
+}
+
+void updateQuota(quota_owner &State, const std::string &Duty,
+                 const std::string &Account, const account_quota &Quota,
+                 std::uint64_t ConfigVersion, time_point Now) {
+  const auto Found = State.Buckets.find(Account);
+  const auto Record = State.Ownerships.find(Duty);
+  if (Found == State.Buckets.end() || !isValid(Quota))
+    return;
+  if (Record != State.Ownerships.end() && !Record->second.LostAt)
+    advanceBucket(Found->second, Record->second, State.Tolerance, Now);
+  updateQuota(Found->second, Quota, ConfigVersion);
+}
+
+quota_grant decide(quota_owner &State, const std::string &Duty,
+                   const quota_ask &Ask, quota_role Role, time_point Now) {
+  if (Role != quota_role::Owner)
+    setOwned(State, Duty, false, Now);
+  if (!isValid(Ask.Quota))
+    return {0, MaxRetryAfter};
+  if (!isLimited(Ask.Quota) && Role != quota_role::Owner)
+    return {Ask.Count, duration::zero()};
+  switch (Role) {
+  case quota_role::Owner:
+    return grantAsOwner(State, Duty, Ask, Now);
+  case quota_role::StandIn:
+    return grantAsStandIn(State, Ask, Now);
+  case quota_role::OnItsOwn:
+    return grantOnItsOwn(State, Ask, Now);
+  }
+  return {};
+}
+
+void dropIdle(quota_owner &State,
+              const std::function<std::string(const std::string &)> &DutyOf,
+              time_point Now) {
+  // A bucket that is not owned is of no use after a window: then it begins like
+  // a new one.
+  const auto IsUseless = [&](const std::string &Account, quota_bucket &Bucket) {
+    const auto Record = State.Ownerships.find(DutyOf(Account));
+    if (Record == State.Ownerships.end())
+      return Now - Bucket.UpdatedAt >= State.Tolerance.Window;
+    if (Record->second.LostAt)
+      return Now - *Record->second.LostAt >= State.Tolerance.Window;
+    advanceBucket(Bucket, Record->second, State.Tolerance, Now);
+    return isIdle(Bucket, IdleTime, Now);
+  };
+  for (auto At = State.Buckets.begin(); At != State.Buckets.end();)
+    At = IsUseless(At->first, At->second) ? State.Buckets.erase(At)
+                                          : std::next(At);
+  const auto IsOver = [&State, Now](const auto &Entry) {
+    return isOver(Entry.second, State.Tolerance.Window, Now);
+  };
+  std::erase_if(State.StandInGrants, IsOver);
+  std::erase_if(State.OwnGrants, IsOver);
+}
+
+std::vector<bucket_level> largestBuckets(const quota_owner &State,
+                                         std::size_t Count) {
+  std::vector<bucket_level> Levels;
+  for (const auto &[Account, Bucket] : State.Buckets)
+    Levels.push_back({Account, Bucket.Accrued + Bucket.Credit, Bucket.Quota,
+                      Bucket.ConfigVersion});
+  std::ranges::stable_sort(
+      Levels, std::ranges::greater(),
+      [](const bucket_level &Level) { return Level.Quota.RequestsPerSecond; });
+  Levels.resize(std::min(Levels.size(), Count));
+  return Levels;
+}
+
+} // namespace coriandertray
