Peer network: Let several components register duties

peer_network::setDuties() replaced all duties other than the reader's, so the duties of quotas would have removed those of the pools' allocators, and the other way round. Each caller now names a group, and setDuties() replaces the duties of that group only.

--- a/src/libs/entry_host/peer_network.cpp
+++ b/src/libs/entry_host/peer_network.cpp
@@ -91,8 +91,9 @@
                : relaysFor(*Own, Members, Eligible, RelayPolicy);
 }
 
-void peer_network::setDuties(std::set<std::string> Next) {
-  Next.emplace(ReaderDuty);
+void peer_network::setDuties(const std::string &Group,
+                             std::set<std::string> Next) {
+  std::set<std::string> &Duties = DutyGroups[Group];
   if (Next == Duties)
     return;
   Duties = std::move(Next);
@@ -100,6 +101,9 @@
 }
 
 void peer_network::reassignDuties() {
+  std::set<std::string> Duties = {std::string(ReaderDuty)};
+  for (const auto &[Group, Names] : DutyGroups)
+    Duties.insert(Names.begin(), Names.end());
   Assignment = assignDuties(Duties, EligibleHosts, RankCount);
   maintainLinks();
 }
--- a/src/libs/entry_host/peer_network.h
+++ b/src/libs/entry_host/peer_network.h
@@ -55,8 +55,9 @@
     return Members;
   }
 
-  /// Replaces the duties other than the reader's.
-  void setDuties(std::set<std::string> Duties);
+  /// Replaces the duties of \p Group, a name that the caller chooses. The
+  /// reader's duty is in no group.
+  void setDuties(const std::string &Group, std::set<std::string> Duties);
 
   /// \returns the hosts ranked for \p Duty, of which the first usable one
   /// performs it. This host itself is always usable.
@@ -125,7 +126,7 @@
   std::vector<fleet_member> Members;
   std::vector<std::string> EligibleHosts;
   std::vector<std::string> Relays;
-  std::set<std::string> Duties = {std::string(ReaderDuty)};
+  std::map<std::string, std::set<std::string>> DutyGroups;
   duty_assignment Assignment;
   std::map<std::string, peer> Peers;
   std::vector<std::weak_ptr<frame_link>> IncomingLinks;
--- a/src/libs/entry_host/slot_broker.cpp
+++ b/src/libs/entry_host/slot_broker.cpp
@@ -128,7 +128,7 @@
     for (const server_pool &Pool : ServicePools.Pools)
       Duties.insert(allocatorDuty(Pool.Name));
   }
-  Peers.setDuties(std::move(Duties));
+  Peers.setDuties("slots", std::move(Duties));
   updateAllocations();
 }
 
