Entry host: Exchange quota tokens with the owners of accounts

A host has to ask the owner of a client account before it passes on a request, because hosts that count for themselves would grant the quota once each. quota_broker asks for all requests of an account that wait at this host in one message. After a refusal by the owner it refuses on its own for at most 200 ms. entry_host answers 429 (quota-exceeded), or 503 (quota-unavailable) if no owner decided, and logs who decided.

No case covers the 429 of entry_host yet, because requests get no account before keys are checked.

--- a/src/libs/entry_host/entry_host.cpp
+++ b/src/libs/entry_host/entry_host.cpp
@@ -19,6 +19,7 @@
 constexpr unsigned Ok = 200;
 constexpr unsigned BadRequest = 400;
 constexpr unsigned NotFound = 404;
+constexpr unsigned TooManyRequests = 429;
 constexpr unsigned Unavailable = 503;
 constexpr duration NotReadyRetryAfter = milliseconds(500);
 // The load balancer probes readiness once a second and removes a host after two
@@ -73,6 +74,8 @@
       Peers(Context, Clock, this->Settings.Host, this->Settings.Relays),
       Slots(Context, Clock, Peers, this->Settings.Host, this->Settings.Zone,
             this->Settings.Retries),
+      Quotas(Context, Clock, Peers, Metrics, this->Settings.Host,
+             this->Settings.Quotas),
       View(Context, Clock, Platform, Peers,
            {this->Settings.Host, this->Settings.Zone,
             this->Settings.AdvertisedPeers, this->Settings.CapacityMillicores},
@@ -101,11 +104,11 @@
 
 result<void> entry_host::start() {
   const result<void> PeersListen =
-      Peers.start(Settings.Peers,
-                  [this](const link_pointer &Link, const envelope &Message) {
-                    if (!View.receive(Link, Message))
-                      (void)Slots.receive(Link, Message);
-                  });
+      Peers.start(Settings.Peers, [this](const link_pointer &Link,
+                                         const envelope &Message) {
+        if (!View.receive(Link, Message) && !Slots.receive(Link, Message))
+          (void)Quotas.receive(Link, Message);
+      });
   if (!PeersListen)
     return PeersListen;
   const result<void> CallersListen = CallerServer.listen(Settings.Listen);
@@ -130,15 +133,52 @@
   Settings.GracePeriod = Changed.GracePeriod;
   Settings.Retries = Changed.Retries;
   Slots.setRetryLimits(Changed.Retries);
+  Settings.Quotas = Changed.Quotas;
+  Quotas.setTolerance(Changed.Quotas);
   logEvent(log_level::Info, "reloaded",
            {{"retry_ratio", Changed.Retries.Ratio},
-            {"retry_slack", Changed.Retries.Slack}});
+            {"retry_slack", Changed.Retries.Slack},
+            {"quota_window_ms", toMilliseconds(Changed.Quotas.Window)},
+            {"quota_overshoot", Changed.Quotas.Overshoot},
+            {"quota_slack", Changed.Quotas.Slack}});
 }
 
 void entry_host::applyConfig(const routing_config &Config) {
   Routes.emplace(Config, stableHash(Settings.Host, Config.Version));
   ConfigVersion = Config.Version;
   CallerServer.setBounds(Config.Bounds);
+  Quotas.setAccounts(Config.Accounts, Config.Version);
+}
+
+// Takes a token from the quota of the request's account. Returns the response
+// to a request that gets none.
+asio::awaitable<std::optional<http_response>>
+entry_host::refuseBeyondQuota(const proxied_request &Request) {
+  if (!Request.Account || !isLimited(Request.Account->Quota))
+    co_return std::nullopt;
+  const request_account &Account = *Request.Account;
+  const quota_decision Decision = co_await Quotas.acquire(
+      Account, Request.ConfigVersion,
+      responseDeadline(Request, ProxyEnvironment.Names));
+  if (Decision.Verdict == quota_verdict::Allowed)
+    co_return std::nullopt;
+  const bool Exceeded = Decision.Verdict == quota_verdict::Refused;
+  const std::string_view Reason =
+      Exceeded ? "quota-exceeded" : "quota-unavailable";
+  const unsigned Status = Exceeded ? TooManyRequests : Unavailable;
+  logEvent(log_level::Info, Reason,
+           {{"request_id", findHeader(Request.Message.Headers,
+                                      ProxyEnvironment.Names.RequestId)
+                               .value_or("")},
+            {"status", Status},
+            {"account", Account.Name},
+            {"requests_per_s", Account.Quota.RequestsPerSecond},
+            {"burst", Account.Quota.Burst},
+            {"config_version", Request.ConfigVersion},
+            {"decided_by", Decision.DecidedBy},
+            {"decider", Decision.Host},
+            {"retry_after_ms", toMilliseconds(Decision.RetryAfter)}});
+  co_return notRunResponse(Status, Reason, Decision.RetryAfter);
 }
 
 asio::awaitable<http_response>
@@ -170,6 +210,9 @@
   Proxied.ConfigVersion = ConfigVersion;
   Proxied.Start = Clock.now();
   Proxied.Message = std::move(Request);
+  std::optional<http_response> Refusal = co_await refuseBeyondQuota(Proxied);
+  if (Refusal)
+    co_return std::move(*Refusal);
   co_return co_await proxyRequest(ProxyEnvironment, std::move(Proxied),
                                   std::move(Caller));
 }
@@ -239,7 +282,8 @@
           {"requests_in_flight", CallerServer.requestsInFlight()},
           {"backend_connections_idle", Client.idleConnectionCount()},
           {"view", View.dump()},
-          {"slots", Slots.dump()}};
+          {"slots", Slots.dump()},
+          {"quotas", Quotas.dump()}};
 }
 
 } // namespace coriandertray
--- a/src/libs/entry_host/entry_host.h
+++ b/src/libs/entry_host/entry_host.h
@@ -9,6 +9,7 @@
 #include "entry_host/host_settings.h"
 #include "entry_host/peer_network.h"
 #include "entry_host/platform_port.h"
+#include "entry_host/quota_broker.h"
 #include "entry_host/request_proxy.h"
 #include "entry_host/slot_broker.h"
 
@@ -42,8 +43,9 @@
   /// grace period. Idempotent.
   void leave();
 
-  /// Applies the grace period and the retry limits of \p Changed. The other
-  /// settings, such as addresses, take effect at the next start.
+  /// Applies the grace period, the retry limits and the quota tolerance of
+  /// \p Changed. The other settings, such as addresses, take effect at the next
+  /// start.
   void reload(const host_settings &Changed);
 
   /// \returns the state of this host, for operators.
@@ -52,6 +54,8 @@
 private:
   asio::awaitable<http_response>
   serve(http_request Request, std::shared_ptr<caller_connection_status> Caller);
+  asio::awaitable<std::optional<http_response>>
+  refuseBeyondQuota(const proxied_request &Request);
   asio::awaitable<http_response> serveReadiness();
   asio::awaitable<http_response> serveOperatorRequest(http_request Request);
   asio::awaitable<void> leaveLoop();
@@ -64,6 +68,7 @@
   metric_registry Metrics;
   peer_network Peers;
   slot_broker Slots;
+  quota_broker Quotas;
   fleet_view View;
   proxy_environment ProxyEnvironment;
   caller_server CallerServer;
--- a/src/libs/entry_host/request_proxy.cpp
+++ b/src/libs/entry_host/request_proxy.cpp
@@ -71,7 +71,7 @@
         RequestId(findHeader(this->Request.Message.Headers,
                              Environment.Names.RequestId)
                       .value_or("")),
-        Deadline(computeDeadline()) {
+        Deadline(responseDeadline(this->Request, Environment.Names)) {
     removeHopByHopHeaders(this->Request.Message.Headers);
     Wakeups->insert(&Wakeup);
   }
@@ -111,19 +111,6 @@
 private:
   [[nodiscard]] time_point now() const { return Environment.Clock.now(); }
 
-  [[nodiscard]] time_point computeDeadline() const {
-    duration Allowed = Request.Route.Timeout;
-    const std::string Text =
-        findHeader(Request.Message.Headers, Environment.Names.DeadlineMs)
-            .value_or("");
-    std::int64_t Ms = 0;
-    const auto [End, Failure] =
-        std::from_chars(Text.data(), Text.data() + Text.size(), Ms);
-    if (Failure == std::errc() && Ms >= 0)
-      Allowed = std::min<duration>(Allowed, milliseconds(Ms));
-    return Request.Start + Allowed - ResponseMargin;
-  }
-
   // Whether the time limit of the request ends while this host still serves.
   [[nodiscard]] bool endsInService() const {
     return !Environment.ServiceEnd || Deadline <= *Environment.ServiceEnd;
@@ -462,6 +449,19 @@
 
 } // namespace
 
+time_point responseDeadline(const proxied_request &Request,
+                            const header_names &Names) {
+  duration Allowed = Request.Route.Timeout;
+  const std::string Text =
+      findHeader(Request.Message.Headers, Names.DeadlineMs).value_or("");
+  std::int64_t Ms = 0;
+  const auto [End, Failure] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Ms);
+  if (Failure == std::errc() && Ms >= 0)
+    Allowed = std::min<duration>(Allowed, milliseconds(Ms));
+  return Request.Start + Allowed - ResponseMargin;
+}
+
 void notifyDisconnected(caller_connection_status &Caller) {
   if (std::exchange(Caller.Disconnected, true))
     return;
