Placement: Send requests to all servers that are probably healthy

Cause: requests are steered to unused servers only while fewer than 75 of 100 of all that may be healthy were used in 1.5 s. Servers that were replaced just now have little evidence, so they are the ones left out, and the more so the stronger the evidence for the others and the dearer another zone.

Change: a server that is more likely healthy than not gets the next request once it has been unused for 1.2 s (from its own zone) or 1.5 s (from any). The target stays for the doubtful ones.

tst_placement, "all healthy servers get a request every two seconds": one was unused for 16 s before, none for 2 s after.

--- a/src/libs/allocation/placement.cpp
+++ b/src/libs/allocation/placement.cpp
@@ -47,6 +47,17 @@
   return Now - Backend.LastGrantAt <= Policy.CoverageWindow;
 }
 
+// Whether a server that is probably healthy has been without requests for so
+// long that \p Request should go there.
+bool isDue(const backend_record &Backend, const slot_request &Request,
+           const placement_policy &Policy, time_point Now) {
+  const duration MaxUnused = Backend.Registration.Zone == Request.Zone
+                                 ? Policy.MaxUnusedInZone
+                                 : Policy.MaxUnused;
+  return Backend.FailureProbability <= Policy.DueMaxFailureProbability &&
+         Now - Backend.LastGrantAt > MaxUnused;
+}
+
 double zoneCost(const backend_record &Backend, const slot_request &Request,
                 const placement_policy &Policy) {
   if (Backend.Registration.Zone == Request.Zone)
@@ -71,9 +82,10 @@
     Cost += Policy.UnprovenInFlightCost * InFlight;
   if (Now < Backend.WarmedUpAt)
     Cost += Policy.WarmUpCost;
-  const bool ImprovesCoverage = BelowCoverageTarget && Backend.Leases.empty() &&
-                                isCoverageCandidate(Backend, Policy, Now) &&
-                                !isCovered(Backend, Policy, Now);
+  const bool ImprovesCoverage =
+      Backend.Leases.empty() && isCoverageCandidate(Backend, Policy, Now) &&
+      (isDue(Backend, Request, Policy, Now) ||
+       (BelowCoverageTarget && !isCovered(Backend, Policy, Now)));
   if (ImprovesCoverage || needsFirstRequest(Backend, Request, Now))
     Cost -= CoverageBonus;
   return Cost;
--- a/src/libs/allocation/placement.h
+++ b/src/libs/allocation/placement.h
@@ -6,8 +6,9 @@
 /// is preferred to one without evidence, a request that takes unusually long
 /// counts against its server long before it times out, and a request that is
 /// not idempotent waits for a proven server instead of risking an unproven one.
-/// Most servers that may be healthy still get regular requests, because the
-/// servers that carry the load now can fail at any moment.
+/// Servers that may be healthy still get regular requests, all of the likely
+/// ones and most of the others, because the servers that carry the load now can
+/// fail at any moment.
 #pragma once
 
 #include "allocation/backend_record.h"
@@ -56,6 +57,12 @@
   double IdempotentCoverageTarget = 0.85;
   double NonIdempotentCoverageTarget = 0.75;
   duration CoverageWindow = milliseconds(1500);
+  /// A server that is more likely healthy than not, as servers without any
+  /// evidence are, and has been unused for this long gets the next request,
+  /// whatever the targets: first one from its own availability zone, later any.
+  double DueMaxFailureProbability = 0.45;
+  duration MaxUnusedInZone = milliseconds(1200);
+  duration MaxUnused = milliseconds(1500);
   /// A server that failed this recently is not a coverage candidate.
   duration RecentFailureWindow = milliseconds(2000);
   /// A server is a coverage candidate only if its failure probability is below
--- a/tests/auto/allocation/tst_placement.cpp
+++ b/tests/auto/allocation/tst_placement.cpp
@@ -26,15 +26,24 @@
   time_point Now{std::chrono::hours(1)};
   std::vector<running_request> Running;
   std::uint64_t NextId = 1;
+  std::uint64_t BodyBytes = 0;
 
-  busy_pool() {
+  /// The servers are spread over \p Zones zones from "a" on.
+  explicit busy_pool(int Zones = 1) {
     std::vector<backend_registration> Servers;
     for (int Number = 0; Number < ServerCount; ++Number)
-      Servers.push_back(
-          makeServer("server-" + std::to_string(Number), SlotCount));
+      Servers.push_back(makeServer("server-" + std::to_string(Number),
+                                   SlotCount,
+                                   std::string(1, "abc"[Number % Zones])));
     setBackends(State, Servers, Now);
   }
 
+  slot_request nextRequest() {
+    slot_request Request = makeRequest(NextId++, Now);
+    Request.BodyBytes = BodyBytes;
+    return Request;
+  }
+
   // Durations between 100 and 600 ms in an order that repeats.
   static duration durationOf(std::uint64_t Id) {
     constexpr std::uint64_t Step = 7;
@@ -66,7 +75,7 @@
       for (const slot_answer &Answer : processQueue(State, Now))
         start(Answer);
       if (Running.size() + State.Queue.size() < MaxRunning)
-        start(requestSlot(State, makeRequest(NextId++, Now), Now));
+        start(requestSlot(State, nextRequest(), Now));
       (void)takeSuspicionChanges(State, Now);
     }
   }
@@ -143,6 +152,23 @@
   CHECK(chosenBackend(Failing, LargeBody) == "far");
 }
 
+// Guards against healthy servers of other zones that get nothing for seconds,
+// because large bodies stay in the zone that all of them come from. The load is
+// far below what the servers of that zone can carry.
+TEST_CASE("all healthy servers get a request every two seconds") {
+  busy_pool Pool(3);
+  Pool.run(seconds(6), SlotCount * ServerCount / 2);
+  Pool.BodyBytes = 60'000;
+  const duration MaxUnused = seconds(2);
+  duration LongestUnused{0};
+  for (int Round = 0; Round < 40; ++Round) {
+    Pool.run(milliseconds(250), SlotCount);
+    for (const auto &[Name, Backend] : Pool.State.Backends)
+      LongestUnused = std::max(LongestUnused, Pool.Now - Backend.LastGrantAt);
+  }
+  CHECK(LongestUnused <= MaxUnused);
+}
+
 // Guards against requests that wait although another zone has room.
 TEST_CASE("a large request is granted in another zone if its own is full") {
   const time_point Now{std::chrono::hours(1)};
