Placement: Use healthy servers that hold a slot of a lost host

Cause: only servers without any slot in use were due. A host that is lost doesn't release its slots, so they count until the deadline of their requests, 6 s and more there, and keep their servers from being due.

Change: a server that is probably healthy is due whether it holds slots or not.

tst_placement, "a healthy server with a slot that isn't released stays in use": unused for 5.1 s before, at most 2 s now.

--- a/src/libs/allocation/placement.cpp
+++ b/src/libs/allocation/placement.cpp
@@ -48,7 +48,8 @@
 }
 
 // Whether a server that is probably healthy has been without requests for so
-// long that \p Request should go there.
+// long that \p Request should go there. It may hold slots: those of a host that
+// was lost stay in use until their deadline.
 bool isDue(const backend_record &Backend, const slot_request &Request,
            const placement_policy &Policy, time_point Now) {
   const duration MaxUnused = Backend.Registration.Zone == Request.Zone
@@ -82,10 +83,11 @@
     Cost += Policy.UnprovenInFlightCost * InFlight;
   if (Now < Backend.WarmedUpAt)
     Cost += Policy.WarmUpCost;
+  const bool IsUncovered = BelowCoverageTarget && Backend.Leases.empty() &&
+                           !isCovered(Backend, Policy, Now);
   const bool ImprovesCoverage =
-      Backend.Leases.empty() && isCoverageCandidate(Backend, Policy, Now) &&
-      (isDue(Backend, Request, Policy, Now) ||
-       (BelowCoverageTarget && !isCovered(Backend, Policy, Now)));
+      isCoverageCandidate(Backend, Policy, Now) &&
+      (IsUncovered || isDue(Backend, Request, Policy, Now));
   if (ImprovesCoverage || needsFirstRequest(Backend, Request, Now))
     Cost -= CoverageBonus;
   return Cost;
--- a/tests/auto/allocation/tst_placement.cpp
+++ b/tests/auto/allocation/tst_placement.cpp
@@ -169,6 +169,25 @@
   CHECK(LongestUnused <= MaxUnused);
 }
 
+// Guards against a healthy server that gets nothing for as long as it holds a
+// slot for a host that was lost, until the deadline of that request.
+TEST_CASE("a healthy server with a slot that isn't released stays in use") {
+  busy_pool Pool;
+  constexpr std::size_t Slots = SlotCount * ServerCount;
+  Pool.run(seconds(6), Slots / 2);
+  const time_point Start = Pool.Now;
+  backend_record &Server = Pool.State.Backends.at("server-0");
+  adoptLease(Pool.State,
+             {{"lost-host", 1}, "server-0", "", Start, Start + seconds(6)},
+             Start);
+  duration LongestUnused{0};
+  for (int Round = 0; Round < 20; ++Round) {
+    Pool.run(milliseconds(250), Slots / 8);
+    LongestUnused = std::max(LongestUnused, Pool.Now - Server.LastGrantAt);
+  }
+  CHECK(LongestUnused <= seconds(2));
+}
+
 // Guards against requests that wait although another zone has room.
 TEST_CASE("a large request is granted in another zone if its own is full") {
   const time_point Now{std::chrono::hours(1)};
