Quota broker: Log no pause while none is measured

Every new configuration noted that the process runs, also if it has no accounts. The upkeep loop doesn't run then, so the time since the previous configuration was logged as event-loop-paused.

noteRunning() does nothing unless the loop runs; the loop forgets the last run when it starts.

The new case of tst_fleet_accounts failed before.

--- a/src/libs/entry_host/quota_broker.cpp
+++ b/src/libs/entry_host/quota_broker.cpp
@@ -480,7 +480,11 @@
   return false;
 }
 
+// Does nothing unless the upkeep loop runs, as the time since the last call says
+// nothing then.
 void quota_broker::noteRunning() {
+  if (!UpkeepRunning)
+    return;
   const duration Pause =
       coriandertray::noteRunning(Owner, Clock.now(), uptime(), AnswerTimeout);
   if (Pause > duration::zero())
--- a/tests/auto/entry_host/tst_fleet_accounts.cpp
+++ b/tests/auto/entry_host/tst_fleet_accounts.cpp
@@ -307,6 +307,25 @@
   });
 }
 
+// Guards against: a pause that is logged although nothing was measured.
+TEST_CASE("without accounts a new version logs no pause") {
+  std::string Log;
+  {
+    output_capture Output;
+    fleet_fixture Fleet;
+    Fleet.run([&]() -> asio::awaitable<void> {
+      for (int Version = 0; Version < 2; ++Version) {
+        co_await pauseFor(ApplyTime);
+        publish(Fleet);
+      }
+      co_await pauseFor(ApplyTime);
+    });
+    Log = Output.finish();
+  }
+  CHECK(Log.find("members-changed") != std::string::npos);
+  CHECK(eventsOf(Log, "event-loop-paused").empty());
+}
+
 // Guards against: an open connection that keeps to the configuration under
 // which it was opened.
 TEST_CASE("a new version is in force on open connections") {
