Quota broker: Keep accounts at their duties when others are added

The number of duties depended on the number of accounts. When it changed, most accounts moved to other duties. A host that had owned one of these for long granted a whole burst again. By reading, not measured: hosts that didn't have the new configuration yet asked hosts that were not the owners, which grant a stand-in's share only.

There are 16 duties whenever there are accounts. Adding and removing accounts doesn't change them, nor the ranking of hosts for the other duties.

The new case adds a 33rd account between two bursts at different hosts. Before, 7 of 32 accounts got 800 requests of 680 that are tolerated; now none does. tst_quota_broker: the 11 other cases pass.

--- a/src/libs/entry_host/quota_broker.cpp
+++ b/src/libs/entry_host/quota_broker.cpp
@@ -37,8 +37,9 @@
 constexpr int UpkeepsPerRoleUpdate = 5;
 constexpr int UpkeepsPerCleanup = 250;
 constexpr duration CutOffCheckInterval = milliseconds(20);
-constexpr std::size_t AccountsPerDuty = 16;
-constexpr std::size_t MaxDuties = 64;
+// Does not depend on the number of accounts: if accounts moved between owners
+// of long standing, these would grant another burst.
+constexpr std::size_t DutyCount = 16;
 // Requests asked for in one message, and the most that an owner accepts.
 constexpr std::uint32_t MaxCount = 4096;
 constexpr std::size_t MaxNameBytes = 256;
@@ -55,11 +56,9 @@
   return "quota/" + std::to_string(Number);
 }
 
-std::set<std::string> makeDuties(std::size_t AccountCount) {
-  const std::size_t Count = std::min(
-      MaxDuties, (AccountCount + AccountsPerDuty - 1) / AccountsPerDuty);
+std::set<std::string> makeDuties() {
   std::set<std::string> Duties;
-  for (std::size_t Number = 0; Number < Count; ++Number)
+  for (std::size_t Number = 0; Number < DutyCount; ++Number)
     Duties.insert(dutyName(Number));
   return Duties;
 }
@@ -160,6 +159,10 @@
 
 } // namespace
 
+std::string quotaDutyOf(std::string_view Account) {
+  return dutyName(stableHash(Account) % DutyCount);
+}
+
 quota_broker::quota_broker(asio::io_context &Context, const clock_source &Clock,
                            peer_network &Peers, metric_registry &Metrics,
                            std::string Self, quota_tolerance Tolerance)
@@ -177,14 +180,14 @@
   ConfigVersion = Version;
   Configured.clear();
   chooseMetricLabels(Accounts);
-  Duties = makeDuties(Accounts.size());
+  Duties = Accounts.empty() ? std::set<std::string>() : makeDuties();
   Peers.setDuties(std::string(DutyGroup), Duties);
   removeDuties(
       Owner, [this](const std::string &Duty) { return Duties.contains(Duty); });
   noteRunning();
   updateRoles();
   for (const client_account &Account : Accounts)
-    updateQuota(Owner, dutyOf(Account.Name), Account.Name, Account.Quota,
+    updateQuota(Owner, quotaDutyOf(Account.Name), Account.Name, Account.Quota,
                 Version, Clock.now());
   std::erase_if(States, [this](const auto &Entry) {
     return !Entry.second.Asking && !Configured.contains(Entry.first);
@@ -223,11 +226,6 @@
                     std::string(nameOf(Verdict)) + "\"");
 }
 
-std::string quota_broker::dutyOf(std::string_view Account) const {
-  return dutyName(stableHash(Account) %
-                  std::max<std::size_t>(1, Duties.size()));
-}
-
 bool quota_broker::isCutOff() {
   const time_point Now = Clock.now();
   if (Now - CutOffCheckedAt >= CutOffCheckInterval) {
@@ -252,7 +250,7 @@
 std::vector<std::string>
 quota_broker::candidatesOf(const std::string &Account) const {
   std::vector<std::string> Hosts;
-  for (const std::string &Host : Peers.hostsRankedFor(dutyOf(Account)))
+  for (const std::string &Host : Peers.hostsRankedFor(quotaDutyOf(Account)))
     if (Hosts.size() < MaxHostsAsked && Peers.isUsable(Host))
       Hosts.push_back(Host);
   return Hosts;
@@ -430,7 +428,7 @@
                                                    bool OnItsOwn) {
   startUpkeepLoop();
   noteRunning();
-  const std::string Duty = dutyOf(Ask.Account);
+  const std::string Duty = quotaDutyOf(Ask.Account);
   const quota_role Role = OnItsOwn ? quota_role::OnItsOwn : roleFor(Duty);
   noteOwned(Duty, Role == quota_role::Owner);
   Owner.HostCount = Peers.members().size();
@@ -480,8 +478,8 @@
   return false;
 }
 
-// Does nothing unless the upkeep loop runs, as the time since the last call says
-// nothing then.
+// Does nothing unless the upkeep loop runs, as the time since the last call
+// says nothing then.
 void quota_broker::noteRunning() {
   if (!UpkeepRunning)
     return;
@@ -515,15 +513,12 @@
 // Runs while there are accounts or grants.
 asio::awaitable<void> quota_broker::upkeepLoop() {
   asio::steady_timer Timer(Context);
-  const auto DutyOf = [this](const std::string &Account) {
-    return dutyOf(Account);
-  };
   for (int Round = 0;; ++Round) {
     noteRunning();
     if (Round % UpkeepsPerRoleUpdate == 0)
       updateRoles();
     if (Round % UpkeepsPerCleanup == 0)
-      dropIdle(Owner, DutyOf, Clock.now());
+      dropIdle(Owner, quotaDutyOf, Clock.now());
     const bool Empty = Configured.empty() && Owner.Buckets.empty() &&
                        Owner.StandInGrants.empty() && Owner.OwnGrants.empty();
     if (Empty)
--- a/src/libs/entry_host/quota_broker.h
+++ b/src/libs/entry_host/quota_broker.h
@@ -52,6 +52,9 @@
   bool operator==(const quota_decision &) const = default;
 };
 
+/// \returns the duty of the host that owns \p Account.
+[[nodiscard]] std::string quotaDutyOf(std::string_view Account);
+
 /// All members run on the thread of the io_context, which must outlive the
 /// object, as must the other references.
 class quota_broker {
@@ -121,7 +124,6 @@
     std::string MetricLabel;
   };
 
-  [[nodiscard]] std::string dutyOf(std::string_view Account) const;
   [[nodiscard]] bool isCutOff();
   [[nodiscard]] quota_role roleFor(const std::string &Duty);
   [[nodiscard]] std::vector<std::string>
--- a/tests/auto/entry_host/tst_quota_broker.cpp
+++ b/tests/auto/entry_host/tst_quota_broker.cpp
@@ -13,6 +13,7 @@
 #include <atomic>
 #include <future>
 #include <limits>
+#include <map>
 #include <memory>
 #include <string>
 #include <thread>
@@ -31,6 +32,7 @@
 struct timed_decision {
   time_point Time;
   quota_decision Decision;
+  std::string Account;
 };
 
 using timed_decisions = std::vector<timed_decision>;
@@ -96,9 +98,12 @@
     });
   }
 
-  bool isOwner() {
-    return run([this] {
-      return !Broker.dump().at("owned_duties").as_array().empty();
+  bool isOwnerOf(const std::string &Account) {
+    return run([this, &Account] {
+      const json::object Dump = Broker.dump();
+      const json::array &Owned = Dump.at("owned_duties").as_array();
+      return std::ranges::find(Owned, json::value(quotaDutyOf(Account))) !=
+             Owned.end();
     });
   }
 
@@ -113,7 +118,7 @@
     const time_point Deadline = Clock.now() + Limit;
     const quota_decision Decision =
         co_await Broker.acquire(Account, 1, Deadline);
-    Decisions.push_back({Clock.now(), Decision});
+    Decisions.push_back({Clock.now(), Decision, Account.Name});
   }
 
   asio::io_context Context;
@@ -151,7 +156,6 @@
     }();
     REQUIRE(Quiet);
     Account = {"account", 0, Quota};
-    std::vector<fleet_member> Members;
     for (int Number = 0; Number < Count; ++Number)
       Members.push_back({hostName(Number), "a", peerAddress(Number), 1000});
     for (int Number = 0; Number < Count; ++Number) {
@@ -161,11 +165,16 @@
     client_account Configured;
     Configured.Name = Account.Name;
     Configured.Quota = Quota;
-    for (const auto &Host : Hosts)
-      Host->configure(Members, {Configured}, 1);
+    configure({Configured}, 1);
     awaitOwner();
   }
 
+  void configure(const std::vector<client_account> &Accounts,
+                 std::uint64_t Version) {
+    for (const auto &Host : Hosts)
+      Host->configure(Members, Accounts, Version);
+  }
+
   void awaitOwner() {
     for (int Try = 0; Try < 200 && !findOwner(); ++Try)
       std::this_thread::sleep_for(milliseconds(20));
@@ -175,7 +184,7 @@
 
   quota_host *findOwner() {
     for (const auto &Host : Hosts)
-      if (Host->isOwner())
+      if (Host->isOwnerOf(Account.Name))
         return Host.get();
     return nullptr;
   }
@@ -203,6 +212,7 @@
   }
 
   request_account Account;
+  std::vector<fleet_member> Members;
   std::vector<std::unique_ptr<quota_host>> Hosts;
 };
 
@@ -317,6 +327,48 @@
   CHECK(countVerdict(Decisions, quota_verdict::Undecidable) == 100 - Allowed);
 }
 
+// Guards against a burst that is granted again by another host, because each
+// account is counted elsewhere when the number of accounts changes.
+TEST_CASE("accounts that are added cost and give the others nothing") {
+  const account_quota Quota = {200, 400};
+  quota_fleet Fleet(Quota);
+  std::vector<client_account> Accounts;
+  for (int Number = 0; Number < 33; ++Number) {
+    Accounts.emplace_back();
+    Accounts.back().Name = "account-" + std::to_string(Number);
+    Accounts.back().Quota = Quota;
+  }
+  const client_account Added = Accounts.back();
+  Accounts.pop_back();
+  Fleet.configure(Accounts, 2);
+  std::this_thread::sleep_for(seconds(3));
+  const auto StartLoad = [&](int Host) {
+    for (const client_account &Each : Accounts)
+      Fleet.Hosts[Host]->startLoad({Each.Name, 0, Quota}, 400, milliseconds(1),
+                                   1);
+  };
+  const time_point Start = std::chrono::steady_clock::now();
+  StartLoad(0);
+  std::this_thread::sleep_for(milliseconds(200));
+  std::vector<client_account> More = Accounts;
+  More.push_back(Added);
+  Fleet.configure(More, 3);
+  std::this_thread::sleep_for(milliseconds(100));
+  StartLoad(1);
+  std::this_thread::sleep_for(milliseconds(300));
+  const double Elapsed = toSeconds(std::chrono::steady_clock::now() - Start);
+  std::map<std::string, int> Allowed;
+  for (const timed_decision &Each : Fleet.stop())
+    Allowed[Each.Account] +=
+        Each.Decision.Verdict == quota_verdict::Allowed ? 1 : 0;
+  REQUIRE(Allowed.size() == Accounts.size());
+  for (const auto &[Account, Count] : Allowed) {
+    CAPTURE(Account);
+    CHECK(Count >= 400);
+    CHECK(Count <= 400 + 200 * Elapsed + toleratedExcess(Quota, Tolerance));
+  }
+}
+
 // Guards against one message for each request of a busy account.
 TEST_CASE("requests that wait are asked for together") {
   quota_fleet Fleet({1000, 1000});
