Quota: State accurate times to return for slow accounts

Times to return were cut at 5 s, by the owner and again by the host that asks. A refused caller of an account with less than 0.2 requests per second was told to come back before there was a token, and was refused again.

The limit is the time of four tokens if that is longer, at most one hour. It is unchanged for accounts with 0.8 requests per second or more.

--- a/src/libs/accounts/quota_bucket.cpp
+++ b/src/libs/accounts/quota_bucket.cpp
@@ -16,6 +16,12 @@
 constexpr double RoundingSlack = 1e-6;
 // Grants within this part of the window are counted together, as of the latest.
 constexpr int EntriesPerWindow = 16;
+// Most callers wait for a fraction of a request's time limit at most, so a
+// later time has no use unless tokens accrue more slowly.
+constexpr duration UsualMaxRetryAfter = seconds(5);
+constexpr duration LongestMaxRetryAfter = seconds(3600);
+// Refused callers of a slow account that are told different times.
+constexpr double SpacedReturns = 4;
 
 double capacityOf(const account_quota &Quota) {
   return std::max(1.0, Quota.Burst);
@@ -77,8 +83,9 @@
 }
 
 duration promiseReturn(quota_bucket &Bucket, std::uint32_t Refused,
-                       duration MaxRetryAfter, time_point Now) {
+                       time_point Now) {
   const double Rate = Bucket.Quota.RequestsPerSecond;
+  const duration MaxRetryAfter = maxRetryAfter(Bucket.Quota);
   const double Missing = std::max(0.0, 1 - Bucket.Accrued - Bucket.Credit);
   const time_point Latest = Now + MaxRetryAfter;
   const double MaxWait = toSeconds(MaxRetryAfter);
@@ -125,6 +132,12 @@
          Quota.RequestsPerSecond >= 0 && Quota.Burst >= 0;
 }
 
+duration maxRetryAfter(const account_quota &Quota) {
+  const double Spaced = std::min(toSeconds(LongestMaxRetryAfter),
+                                 SpacedReturns / Quota.RequestsPerSecond);
+  return std::max(UsualMaxRetryAfter, fromSeconds(Spaced));
+}
+
 double toleratedExcess(const account_quota &Quota,
                        const quota_tolerance &Tolerance) {
   const double Allowed =
@@ -168,7 +181,7 @@
 }
 
 quota_grant takeTokens(quota_bucket &Bucket, std::uint32_t Count,
-                       duration MaxRetryAfter, time_point Now) {
+                       time_point Now) {
   Bucket.UsedAt = Now;
   const double Whole =
       std::floor(Bucket.Accrued + Bucket.Credit + RoundingSlack);
@@ -177,7 +190,7 @@
   subtract(Bucket, Granted);
   if (Granted == Count)
     return {Granted, duration::zero()};
-  return {Granted, promiseReturn(Bucket, Count - Granted, MaxRetryAfter, Now)};
+  return {Granted, promiseReturn(Bucket, Count - Granted, Now)};
 }
 
 bool isIdle(const quota_bucket &Bucket, duration Time, time_point Now) {
--- a/src/libs/accounts/quota_bucket.h
+++ b/src/libs/accounts/quota_bucket.h
@@ -55,6 +55,11 @@
 /// \returns whether the numbers of \p Quota are finite and not negative.
 [[nodiscard]] bool isValid(const account_quota &Quota);
 
+/// \returns the longest time after which a refused caller of an account with
+/// \p Quota is told to come back: that of a few tokens if they accrue slowly.
+/// \pre \p Quota is limited.
+[[nodiscard]] duration maxRetryAfter(const account_quota &Quota);
+
 /// The result of a request for tokens.
 struct quota_grant {
   std::uint32_t Granted = 0;
@@ -104,10 +109,10 @@
 void limitToAccrualOf(quota_bucket &Bucket, duration Time);
 
 /// Takes up to \p Count tokens. Those who are refused are told to come back one
-/// after the other, as tokens accrue, within \p MaxRetryAfter; RetryAfter is
-/// the time of the first of them. \pre \p Bucket is advanced to \p Now.
+/// after the other, as tokens accrue, within maxRetryAfter(); RetryAfter is the
+/// time of the first of them. \pre \p Bucket is advanced to \p Now.
 [[nodiscard]] quota_grant takeTokens(quota_bucket &Bucket, std::uint32_t Count,
-                                     duration MaxRetryAfter, time_point Now);
+                                     time_point Now);
 
 /// \returns whether \p Bucket is full and was not used for \p Time.
 /// \pre \p Bucket is advanced to \p Now.
--- a/src/libs/accounts/quota_owner.cpp
+++ b/src/libs/accounts/quota_owner.cpp
@@ -13,9 +13,9 @@
 // Bounds the memory for accounts that other hosts name.
 constexpr std::size_t MaxBuckets = 1U << 14U;
 constexpr duration IdleTime = seconds(60);
-// Callers wait for a fraction of a request's time limit at most, so a later
-// time has no use.
-constexpr duration MaxRetryAfter = seconds(5);
+// For requests that are refused because of what they ask for or because there
+// are too many accounts.
+constexpr duration UndecidedRetryAfter = seconds(5);
 
 quota_grant grantAsOwner(quota_owner &State, const std::string &Duty,
                          const quota_ask &Ask, time_point Now) {
@@ -23,7 +23,7 @@
   const ownership &Record = State.Ownerships[Duty];
   if (!State.Buckets.contains(Ask.Account) &&
       State.Buckets.size() >= MaxBuckets)
-    return {0, MaxRetryAfter};
+    return {0, UndecidedRetryAfter};
   quota_bucket &Bucket =
       State.Buckets
           .try_emplace(Ask.Account, makeBucket(Ask.Quota, Ask.ConfigVersion,
@@ -35,7 +35,7 @@
     return {Ask.Count, duration::zero()};
   if (Ask.GrantedElsewhere)
     limitToAccrualOf(Bucket, *Ask.GrantedElsewhere);
-  return takeTokens(Bucket, Ask.Count, MaxRetryAfter, Now);
+  return takeTokens(Bucket, Ask.Count, Now);
 }
 
 quota_grant grantAsStandIn(quota_owner &State, const quota_ask &Ask,
@@ -132,7 +132,7 @@
   if (Role != quota_role::Owner)
     setOwned(State, Duty, false, Now);
   if (!isValid(Ask.Quota))
-    return {0, MaxRetryAfter};
+    return {0, UndecidedRetryAfter};
   if (!isLimited(Ask.Quota) && Role != quota_role::Owner)
     return {Ask.Count, duration::zero()};
   switch (Role) {
--- a/src/libs/entry_host/quota_broker.cpp
+++ b/src/libs/entry_host/quota_broker.cpp
@@ -31,7 +31,6 @@
 constexpr duration MaxRememberedRefusal = milliseconds(200);
 // Links to other hosts are checked every 500 ms, so an owner is found by then.
 constexpr duration UndecidableRetryAfter = milliseconds(500);
-constexpr duration MaxRetryAfter = seconds(5);
 // Much shorter than AnswerTimeout, to tell a paused process from an idle one.
 constexpr duration UpkeepInterval = milliseconds(40);
 constexpr int UpkeepsPerRoleUpdate = 5;
@@ -51,6 +50,8 @@
 constexpr std::uint32_t NotGrantedElsewhere = 4294967295;
 // Other grants are so long ago that buckets have filled up since.
 constexpr duration MaxGrantAge = seconds(3600);
+// Later times from other hosts are not passed on to callers.
+constexpr duration LongestRetryAfter = seconds(3600);
 
 std::string dutyName(std::size_t Number) {
   return "quota/" + std::to_string(Number);
@@ -75,7 +76,7 @@
 std::uint32_t toWireMs(duration Value) {
   const auto Ms = std::chrono::ceil<milliseconds>(Value).count();
   return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
-      Ms, 0, std::chrono::floor<milliseconds>(MaxGrantAge).count()));
+      Ms, 0, std::chrono::floor<milliseconds>(LongestRetryAfter).count()));
 }
 
 // Rounds down, so that a report never states a longer time than has passed.
@@ -126,10 +127,10 @@
   logEvent(log_level::Warning, "peer-message-malformed", {{"detail", Detail}});
 }
 
-// The time in which \p Count tokens accrue, at most MaxRetryAfter.
+// The time in which \p Count tokens accrue, at most maxRetryAfter().
 duration accrualTime(double Count, const account_quota &Quota) {
-  const double Seconds =
-      std::min(toSeconds(MaxRetryAfter), Count / Quota.RequestsPerSecond);
+  const double Seconds = std::min(toSeconds(maxRetryAfter(Quota)),
+                                  Count / Quota.RequestsPerSecond);
   return std::chrono::duration_cast<duration>(
       std::chrono::duration<double>(Seconds));
 }
@@ -265,7 +266,7 @@
   const time_point Now = Clock.now();
   const time_point Next =
       std::max(Now, State.LastReturn) + accrualTime(1, State.Quota);
-  State.LastReturn = std::min(Next, Now + MaxRetryAfter);
+  State.LastReturn = std::min(Next, Now + maxRetryAfter(State.Quota));
   return {quota_verdict::Refused, State.LastReturn - Now, "remembered-refusal",
           State.RefusedBy};
 }
@@ -337,7 +338,7 @@
       State.LastReturn =
           std::min(Now + Asked.Grant.RetryAfter +
                        accrualTime(Number - Granted, State.Quota),
-                   Now + MaxRetryAfter);
+                   Now + maxRetryAfter(State.Quota));
       Decision.Verdict =
           ByOwner ? quota_verdict::Refused : quota_verdict::Undecidable;
       Decision.RetryAfter =
@@ -460,7 +461,7 @@
   if (Found == PendingAnswers.end() || Found->second->Link != Link)
     return;
   const duration RetryAfter =
-      std::min<duration>(milliseconds(Value.retry_after_ms), MaxRetryAfter);
+      std::min<duration>(milliseconds(Value.retry_after_ms), LongestRetryAfter);
   Found->second->Grant = quota_grant{Value.granted, RetryAfter};
   Found->second->Role = toRole(Value.role);
   Found->second->Wakeup.cancel();
--- a/tests/auto/accounts/tst_quota_owner.cpp
+++ b/tests/auto/accounts/tst_quota_owner.cpp
@@ -450,6 +450,23 @@
   }));
 }
 
+// Guards against a time to return at which there is no token yet.
+TEST_CASE("callers of slow accounts are told when their token accrues") {
+  const account_quota Quota = {0.1, 1};
+  quota_owner Owner = makeOwner();
+  CHECK(grantedBy(Owner, makeAsk(1, Quota), Epoch) == 1);
+  const auto RefuseAt = [&](time_point Now) {
+    const quota_grant Grant =
+        decide(Owner, Duty, makeAsk(1, Quota), quota_role::Owner, Now);
+    CHECK(Grant.Granted == 0);
+    return toSeconds(Now - Epoch + Grant.RetryAfter);
+  };
+  CHECK(RefuseAt(Epoch + seconds(1)) == doctest::Approx(10));
+  CHECK(RefuseAt(Epoch + seconds(2)) == doctest::Approx(20));
+  CHECK(grantedBy(Owner, makeAsk(1, Quota), Epoch + seconds(10)) == 1);
+  CHECK(grantedBy(Owner, makeAsk(1, Quota), Epoch + seconds(20)) == 1);
+}
+
 // Guards against infinite or negative levels from values out of range.
 TEST_CASE("values that are no quota grant nothing and leave no trace") {
   const double NotANumber = std::numeric_limits<double>::quiet_NaN();
--- a/tests/auto/entry_host/tst_quota_broker.cpp
+++ b/tests/auto/entry_host/tst_quota_broker.cpp
@@ -369,6 +369,19 @@
   }
 }
 
+// Guards against times to return that are cut short on the way from the owner.
+TEST_CASE("a refused caller of a slow account is told when its token accrues") {
+  quota_fleet Fleet({0.1, 1});
+  Fleet.startLoad(2, milliseconds(50), 2);
+  std::this_thread::sleep_for(milliseconds(300));
+  const timed_decisions Decisions = Fleet.stop();
+  CHECK(countVerdict(Decisions, quota_verdict::Allowed) == 1);
+  CHECK(countVerdict(Decisions, quota_verdict::Refused) == 11);
+  for (const timed_decision &Each : Decisions)
+    if (Each.Decision.Verdict == quota_verdict::Refused)
+      CHECK(Each.Decision.RetryAfter > seconds(9));
+}
+
 // Guards against one message for each request of a busy account.
 TEST_CASE("requests that wait are asked for together") {
   quota_fleet Fleet({1000, 1000});
