Quota broker: Wait shortly for the owner before a 503

A request that a stand-in or the host itself didn't grant got 503 at once. Hosts have no link to the owner for up to 500 ms after they start, after one answer was late, and after the ranking of hosts changes. Requests within the quota were rejected in this time.

In the first second without a decision by an owner, requests that are not granted stay in the queue for up to 600 ms, and tokens are asked for again every 40 ms. After that second they get 503 at once, as before.

--- a/src/libs/entry_host/quota_broker.cpp
+++ b/src/libs/entry_host/quota_broker.cpp
@@ -31,6 +31,11 @@
 constexpr duration MaxRememberedRefusal = milliseconds(200);
 // Links to other hosts are checked every 500 ms, so an owner is found by then.
 constexpr duration UndecidableRetryAfter = milliseconds(500);
+// A request waits this long for an owner. Links are opened again within 500 ms.
+constexpr duration MaxOwnerWait = milliseconds(600);
+// After this time without an owner, requests don't wait for it.
+constexpr duration OwnerAbsentTime = seconds(1);
+constexpr duration AskAgainInterval = milliseconds(40);
 // Much shorter than AnswerTimeout, to tell a paused process from an idle one.
 constexpr duration UpkeepInterval = milliseconds(40);
 constexpr int UpkeepsPerRoleUpdate = 5;
@@ -285,7 +290,7 @@
     countDecision(Account.Name, quota_verdict::Refused);
     co_return refuseAgain(State);
   }
-  const auto Waiting = std::make_shared<waiting_request>(Context);
+  const auto Waiting = std::make_shared<waiting_request>(Context, Clock.now());
   State.Waiting.push_back(Waiting);
   if (!std::exchange(State.Asking, true))
     asio::co_spawn(Context, askLoop(Account.Name), asio::detached);
@@ -303,6 +308,7 @@
 
 // Asks for the tokens of all requests that wait, in one message after another.
 asio::awaitable<void> quota_broker::askLoop(std::string Account) {
+  asio::steady_timer Timer(Context);
   for (;;) {
     account_state &State = States[Account];
     std::erase_if(State.Waiting,
@@ -314,10 +320,36 @@
     const auto Count = static_cast<std::uint32_t>(
         std::min<std::size_t>(State.Waiting.size(), MaxCount));
     const asked_grant Asked = co_await ask(Account, Count);
+    noteDecider(State, Asked.Role);
     distribute(State, Asked, Count);
+    if (Asked.Role == quota_role::Owner || Asked.Grant.Granted >= Count)
+      continue;
+    Timer.expires_after(AskAgainInterval);
+    co_await Timer.async_wait(UseTuple);
   }
 }
 
+void quota_broker::noteDecider(account_state &State, quota_role Role) {
+  const time_point Now = Clock.now();
+  if (Role == quota_role::Owner) {
+    State.WithoutOwnerSince.reset();
+    return;
+  }
+  // What was found before the last requests came says nothing about the owner.
+  if (!State.WithoutOwnerSince ||
+      Now - State.LastWithoutOwner >= OwnerAbsentTime)
+    State.WithoutOwnerSince = Now;
+  State.LastWithoutOwner = Now;
+}
+
+bool quota_broker::mayWaitForOwner(const account_state &State,
+                                   const waiting_request &Waiting) const {
+  const time_point Now = Clock.now();
+  return State.WithoutOwnerSince &&
+         Now - *State.WithoutOwnerSince < OwnerAbsentTime &&
+         Now - Waiting.Since < MaxOwnerWait;
+}
+
 void quota_broker::distribute(account_state &State, const asked_grant &Asked,
                               std::uint32_t Count) {
   const time_point Now = Clock.now();
@@ -327,6 +359,10 @@
     State.OwnerGrants[Asked.Host] = Now;
   for (std::uint32_t Number = 0; Number < Count && !State.Waiting.empty();) {
     const auto Waiting = State.Waiting.front();
+    // Those behind it have not waited longer.
+    if (Number >= Granted && !Waiting->Abandoned && !ByOwner &&
+        mayWaitForOwner(State, *Waiting))
+      return;
     State.Waiting.pop_front();
     if (Waiting->Abandoned)
       continue;
--- a/src/libs/entry_host/quota_broker.h
+++ b/src/libs/entry_host/quota_broker.h
@@ -72,7 +72,9 @@
                    std::uint64_t ConfigVersion);
 
   /// Waits until \p Deadline for a token for one request of \p Account, whose
-  /// quota is from the configuration with version \p ConfigVersion. A token
+  /// quota is from the configuration with version \p ConfigVersion. Without an
+  /// owner, it is asked for again for a short time before the request is found
+  /// Undecidable. A token
   /// that arrives later is used for another request that waits, or for none.
   asio::awaitable<quota_decision> acquire(request_account Account,
                                           std::uint64_t ConfigVersion,
@@ -87,8 +89,10 @@
 
 private:
   struct waiting_request {
-    explicit waiting_request(asio::io_context &Context) : Wakeup(Context) {}
+    waiting_request(asio::io_context &Context, time_point Since)
+        : Wakeup(Context), Since(Since) {}
     asio::steady_timer Wakeup;
+    time_point Since;
     std::optional<quota_decision> Decision;
     bool Abandoned = false;
   };
@@ -104,8 +108,13 @@
     account_quota Quota;
     std::uint64_t ConfigVersion = 0;
     std::deque<std::shared_ptr<waiting_request>> Waiting;
-    /// Whether a message to another host is under way.
+    /// Whether askLoop() runs for the account.
     bool Asking = false;
+    /// Since when no owner has decided, if the last decision was not an
+    /// owner's.
+    std::optional<time_point> WithoutOwnerSince;
+    /// The last decision that was not an owner's.
+    time_point LastWithoutOwner;
     std::string RefusedBy;
     time_point RefusedUntil;
     std::uint64_t RefusedVersion = 0;
@@ -141,6 +150,9 @@
   grantedElsewhere(const account_state &State, const std::string &Host) const;
   [[nodiscard]] asked_grant decideHere(quota_ask Ask, bool OnItsOwn);
   [[nodiscard]] quota_ask withNewestQuota(quota_ask Ask) const;
+  void noteDecider(account_state &State, quota_role Role);
+  [[nodiscard]] bool mayWaitForOwner(const account_state &State,
+                                     const waiting_request &Waiting) const;
   void distribute(account_state &State, const asked_grant &Asked,
                   std::uint32_t Count);
   void countDecision(const std::string &Account, quota_verdict Verdict);
--- a/tests/auto/entry_host/tst_quota_broker.cpp
+++ b/tests/auto/entry_host/tst_quota_broker.cpp
@@ -382,6 +382,29 @@
       CHECK(Each.Decision.RetryAfter > seconds(9));
 }
 
+// Guards against 503 for requests within the quota when the link to the owner
+// is opened again shortly afterwards.
+TEST_CASE("requests wait for the owner for a short time") {
+  quota_fleet Fleet({1000, 1000});
+  quota_host *Owner = Fleet.findOwner();
+  const std::string Last = Owner->run([&] {
+    return Owner->Peers.hostsRankedFor(quotaDutyOf(Fleet.Account.Name)).back();
+  });
+  const auto Found = std::ranges::find_if(
+      Fleet.Hosts, [&](const auto &Host) { return Host->Name == Last; });
+  REQUIRE(Found != Fleet.Hosts.end());
+  quota_host &Other = **Found;
+  REQUIRE(&Other != Owner);
+  Other.run([&] {
+    Other.Peers.dropLink(Owner->Name);
+    return 0;
+  });
+  Other.startLoad(Fleet.Account, 500, milliseconds(1), 1);
+  std::this_thread::sleep_for(milliseconds(900));
+  Other.suspend();
+  CHECK(countVerdict(Other.Decisions, quota_verdict::Allowed) == 500);
+}
+
 // Guards against one message for each request of a busy account.
 TEST_CASE("requests that wait are asked for together") {
   quota_fleet Fleet({1000, 1000});
