Quota: Keep one token over a pause

After a gap, the level of a bucket was limited to the burst less what accrued during the gap. An account whose burst is one token (or omitted) was left with less than one, so its next request got 429 after each pause of 120 ms or more, even if it had sent nothing for long.

The limit is at least one token. A gap still adds nothing, so a bucket that was used up stays so.

--- a/src/libs/accounts/quota_bucket.cpp
+++ b/src/libs/accounts/quota_bucket.cpp
@@ -55,6 +55,8 @@
 // During a gap another owner has at most the tokens that accrue meanwhile, in
 // addition to those of a new bucket. Both together must not hold more than the
 // burst, so this host keeps the rest of the burst at most, and gains nothing.
+// One token is kept, because an account whose burst is one token would be
+// refused after each pause, although it sent nothing.
 // After a gap of a window it is like any other new owner.
 void applyGap(quota_bucket &Bucket, const ownership_gap &Gap,
               const quota_tolerance &Tolerance) {
@@ -66,7 +68,7 @@
   const double GrantedElsewhere =
       Bucket.Quota.RequestsPerSecond * toSeconds(Gap.Length);
   limitLevel(Bucket,
-             std::max(0.0, capacityOf(Bucket.Quota) - GrantedElsewhere));
+             std::max(1.0, capacityOf(Bucket.Quota) - GrantedElsewhere));
   Bucket.UpdatedAt = std::max(Bucket.UpdatedAt, Gap.End);
 }
 
--- a/tests/auto/accounts/tst_quota_owner.cpp
+++ b/tests/auto/accounts/tst_quota_owner.cpp
@@ -349,6 +349,24 @@
         10);
 }
 
+// Guards against a refusal of the only request of an account that has been idle
+// for long, because a level of less than one token grants nothing.
+TEST_CASE("a pause leaves one token to an account that had one") {
+  const account_quota Quota = {0.1, 1};
+  quota_owner Owner = makeOwner();
+  noteRunning(Owner, Epoch + milliseconds(100), milliseconds(100), MaxPause);
+  noteRunning(Owner, Epoch + milliseconds(300), milliseconds(300), MaxPause);
+  const time_point Now = Epoch + milliseconds(300);
+  CHECK(grantedBy(Owner, makeAsk(1, Quota), Now) == 1);
+  CHECK(grantedBy(Owner, makeAsk(1, Quota), Now) == 0);
+  const time_point Later = Now + seconds(11);
+  for (time_point Time = Now; Time < Later; Time += milliseconds(100))
+    noteRunning(Owner, Time, Time - Epoch, MaxPause);
+  CHECK(grantedBy(Owner, makeAsk(1, Quota), Later) == 1);
+  noteRunning(Owner, Later + seconds(1), Later - Epoch + seconds(1), MaxPause);
+  CHECK(grantedBy(Owner, makeAsk(1, Quota), Later + seconds(1)) == 0);
+}
+
 // Guards against a busy host that is taken for a suspended one.
 TEST_CASE("a delay shorter than the answer timeout costs no tokens") {
   const account_quota Quota = {10, 30};
