Entry host: Return the request id on responses about quotas

401 and the responses of request_proxy carry the id of the request; the 429 and 503 for quotas did not, so that callers could not assign them.

The check added to tst_quota_requests failed before; its 3 cases (180 checks) pass now.

--- a/src/libs/entry_host/entry_host.cpp
+++ b/src/libs/entry_host/entry_host.cpp
@@ -174,10 +174,11 @@
   const std::string_view Reason =
       Exceeded ? "quota-exceeded" : "quota-unavailable";
   const unsigned Status = Exceeded ? TooManyRequests : Unavailable;
+  const std::string RequestId =
+      findHeader(Request.Message.Headers, ProxyEnvironment.Names.RequestId)
+          .value_or("");
   logEvent(log_level::Info, Reason,
-           {{"request_id", findHeader(Request.Message.Headers,
-                                      ProxyEnvironment.Names.RequestId)
-                               .value_or("")},
+           {{"request_id", RequestId},
             {"status", Status},
             {"account", Account.Name},
             {"requests_per_s", Account.Quota.RequestsPerSecond},
@@ -186,7 +187,10 @@
             {"decided_by", Decision.DecidedBy},
             {"decider", Decision.Host},
             {"retry_after_ms", toMilliseconds(Decision.RetryAfter)}});
-  co_return notRunResponse(Status, Reason, Decision.RetryAfter);
+  http_response Response = notRunResponse(Status, Reason, Decision.RetryAfter);
+  if (!RequestId.empty())
+    setHeader(Response.Headers, ProxyEnvironment.Names.RequestId, RequestId);
+  co_return Response;
 }
 
 asio::awaitable<http_response>
--- a/tests/auto/entry_host/tst_quota_requests.cpp
+++ b/tests/auto/entry_host/tst_quota_requests.cpp
@@ -60,6 +60,7 @@
     CHECK(Fleet.statusOf(Refusal) == 429);
     CHECK(Refusal.find("quota-exceeded") != std::string::npos);
     CHECK(Refusal.find("Retry-After: ") != std::string::npos);
+    CHECK(Refusal.find(TestNames.RequestId + ": r\r\n") != std::string::npos);
     CHECK(Refusal.find("key-of-limited") == std::string::npos);
     for (const http_request &Request : Fleet.Backends[0]->Requests)
       CHECK(findHeader(Request.Headers, TestNames.Account) == "limited");
