--- a/src/libs/accounts/quota_bucket.cpp
+++ b/src/libs/accounts/quota_bucket.cpp
@@ -84,8 +84,8 @@
   Bucket.Credit = std::max(0.0, Bucket.Credit - (Count - FromAccrued));
 }
 
-duration promiseReturn(quota_bucket &Bucket, std::uint32_t Refused,
-                       time_point Now) {
+duration scheduleReturns(quota_bucket &Bucket, std::uint32_t Refused,
+                         time_point Now) {
   const double Rate = Bucket.Quota.RequestsPerSecond;
   const duration MaxRetryAfter = maxRetryAfter(Bucket.Quota);
   const double Missing = std::max(0.0, 1 - Bucket.Accrued - Bucket.Credit);
@@ -93,13 +93,13 @@
   const double MaxWait = toSeconds(MaxRetryAfter);
   const time_point NextToken =
       Now + fromSeconds(std::min(MaxWait, Missing / Rate));
-  const time_point AfterPromised =
-      Bucket.PromisedUntil + fromSeconds(std::min(MaxWait, 1 / Rate));
+  const time_point AfterLastReturn =
+      Bucket.LastReturn + fromSeconds(std::min(MaxWait, 1 / Rate));
   const time_point First = std::min(
-      Latest, Bucket.PromisedUntil > Now ? std::max(AfterPromised, NextToken)
-                                         : NextToken);
+      Latest, Bucket.LastReturn > Now ? std::max(AfterLastReturn, NextToken)
+                                      : NextToken);
   const double Others = std::min(MaxWait, (Refused - 1) / Rate);
-  Bucket.PromisedUntil = std::min(Latest, First + fromSeconds(Others));
+  Bucket.LastReturn = std::min(Latest, First + fromSeconds(Others));
   return First - Now;
 }
 
@@ -192,7 +192,7 @@
   subtract(Bucket, Granted);
   if (Granted == Count)
     return {Granted, duration::zero()};
-  return {Granted, promiseReturn(Bucket, Count - Granted, Now)};
+  return {Granted, scheduleReturns(Bucket, Count - Granted, Now)};
 }
 
 bool isIdle(const quota_bucket &Bucket, duration Time, time_point Now) {
--- a/src/libs/accounts/quota_bucket.h
+++ b/src/libs/accounts/quota_bucket.h
@@ -30,7 +30,7 @@
   time_point Since;
   /// In order of time, after Since.
   std::vector<ownership_gap> Gaps;
-  /// When a gap began that has not ended.
+  /// When the current gap began; empty while this host is the owner.
   std::optional<time_point> LostAt;
   bool operator==(const ownership &) const = default;
 };
@@ -80,8 +80,9 @@
   /// know how many the previous owner has left.
   double Credit = 0;
   time_point UpdatedAt;
-  /// The time for which the last refused caller was told to come back.
-  time_point PromisedUntil;
+  /// When the last refused caller was told to come back. The next one is told a
+  /// later time, so that they don't compete for one token.
+  time_point LastReturn;
   time_point UsedAt;
   bool operator==(const quota_bucket &) const = default;
 };
--- a/src/libs/accounts/quota_owner.cpp
+++ b/src/libs/accounts/quota_owner.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr double StandInShare = 0.25;
-constexpr double OnItsOwnShare = 0.25;
+constexpr double IsolatedShare = 0.25;
 // Bounds the memory for accounts that other hosts name.
 constexpr std::size_t MaxBuckets = 1U << 14U;
 constexpr duration IdleTime = seconds(60);
@@ -18,41 +18,43 @@
 constexpr duration UndecidedRetryAfter = seconds(5);
 
 quota_grant grantAsOwner(quota_owner &State, const std::string &Duty,
-                         const quota_ask &Ask, time_point Now) {
+                         const token_request &Request, time_point Now) {
   setOwned(State, Duty, true, Now);
   const ownership &Record = State.Ownerships[Duty];
-  if (!State.Buckets.contains(Ask.Account) &&
+  if (!State.Buckets.contains(Request.Account) &&
       State.Buckets.size() >= MaxBuckets)
     return {0, UndecidedRetryAfter};
   quota_bucket &Bucket =
       State.Buckets
-          .try_emplace(Ask.Account, makeBucket(Ask.Quota, Ask.ConfigVersion,
-                                               State.Tolerance, Record.Since))
+          .try_emplace(Request.Account,
+                       makeBucket(Request.Quota, Request.ConfigVersion,
+                                  State.Tolerance, Record.Since))
           .first->second;
   advanceBucket(Bucket, Record, State.Tolerance, Now);
-  updateQuota(Bucket, Ask.Quota, Ask.ConfigVersion);
+  updateQuota(Bucket, Request.Quota, Request.ConfigVersion);
   if (!isLimited(Bucket.Quota))
-    return {Ask.Count, duration::zero()};
-  if (Ask.GrantedElsewhere)
-    limitToAccrualOf(Bucket, *Ask.GrantedElsewhere);
-  return takeTokens(Bucket, Ask.Count, Now);
+    return {Request.Count, duration::zero()};
+  if (Request.GrantedElsewhere)
+    limitToAccrualOf(Bucket, *Request.GrantedElsewhere);
+  return takeTokens(Bucket, Request.Count, Now);
 }
 
-quota_grant grantAsStandIn(quota_owner &State, const quota_ask &Ask,
+quota_grant grantAsStandIn(quota_owner &State, const token_request &Request,
                            time_point Now) {
   const double Limit =
-      StandInShare * toleratedExcess(Ask.Quota, State.Tolerance);
-  return takeWithin(State.StandInGrants[Ask.Account], Ask.Count, Limit,
+      StandInShare * toleratedExcess(Request.Quota, State.Tolerance);
+  return takeWithin(State.StandInGrants[Request.Account], Request.Count, Limit,
                     State.Tolerance.Window, Now);
 }
 
-quota_grant grantOnItsOwn(quota_owner &State, const quota_ask &Ask,
-                          time_point Now) {
+quota_grant grantAsIsolated(quota_owner &State, const token_request &Request,
+                            time_point Now) {
   const double HostCount =
       static_cast<double>(std::max<std::size_t>(1, State.HostCount));
-  const double Limit =
-      OnItsOwnShare * toleratedExcess(Ask.Quota, State.Tolerance) / HostCount;
-  return takeWithin(State.OwnGrants[Ask.Account], Ask.Count, Limit,
+  const double Limit = IsolatedShare *
+                       toleratedExcess(Request.Quota, State.Tolerance) /
+                       HostCount;
+  return takeWithin(State.IsolatedGrants[Request.Account], Request.Count, Limit,
                     State.Tolerance.Window, Now);
 }
 
@@ -68,14 +70,14 @@
     return "owner";
   case quota_role::StandIn:
     return "stand-in";
-  case quota_role::OnItsOwn:
+  case quota_role::Isolated:
     return "own-share";
   }
   return "unknown";
 }
 
-duration noteRunning(quota_owner &State, time_point Now, duration Uptime,
-                     duration MaxPause) {
+duration recordRunning(quota_owner &State, time_point Now, duration Uptime,
+                       duration MaxPause) {
   const std::optional<time_point> Last = std::exchange(State.LastRun, Now);
   const duration UptimeStep = Uptime - std::exchange(State.LastUptime, Uptime);
   if (!Last)
@@ -89,7 +91,7 @@
   return Pause;
 }
 
-void stopNotingRuns(quota_owner &State) { State.LastRun.reset(); }
+void stopRecordingRuns(quota_owner &State) { State.LastRun.reset(); }
 
 bool setOwned(quota_owner &State, const std::string &Duty, bool Owned,
               time_point Now) {
@@ -128,20 +130,21 @@
 }
 
 quota_grant decide(quota_owner &State, const std::string &Duty,
-                   const quota_ask &Ask, quota_role Role, time_point Now) {
+                   const token_request &Request, quota_role Role,
+                   time_point Now) {
   if (Role != quota_role::Owner)
     setOwned(State, Duty, false, Now);
-  if (!isValid(Ask.Quota))
+  if (!isValid(Request.Quota))
     return {0, UndecidedRetryAfter};
-  if (!isLimited(Ask.Quota) && Role != quota_role::Owner)
-    return {Ask.Count, duration::zero()};
+  if (!isLimited(Request.Quota) && Role != quota_role::Owner)
+    return {Request.Count, duration::zero()};
   switch (Role) {
   case quota_role::Owner:
-    return grantAsOwner(State, Duty, Ask, Now);
+    return grantAsOwner(State, Duty, Request, Now);
   case quota_role::StandIn:
-    return grantAsStandIn(State, Ask, Now);
-  case quota_role::OnItsOwn:
-    return grantOnItsOwn(State, Ask, Now);
+    return grantAsStandIn(State, Request, Now);
+  case quota_role::Isolated:
+    return grantAsIsolated(State, Request, Now);
   }
   return {};
 }
@@ -151,7 +154,8 @@
               time_point Now) {
   // A bucket that is not owned is of no use after a window: then it begins like
   // a new one.
-  const auto IsUseless = [&](const std::string &Account, quota_bucket &Bucket) {
+  const auto HasNoEffect = [&](const std::string &Account,
+                               quota_bucket &Bucket) {
     const auto Record = State.Ownerships.find(DutyOf(Account));
     if (Record == State.Ownerships.end())
       return Now - Bucket.UpdatedAt >= State.Tolerance.Window;
@@ -161,13 +165,13 @@
     return isIdle(Bucket, IdleTime, Now);
   };
   for (auto At = State.Buckets.begin(); At != State.Buckets.end();)
-    At = IsUseless(At->first, At->second) ? State.Buckets.erase(At)
-                                          : std::next(At);
+    At = HasNoEffect(At->first, At->second) ? State.Buckets.erase(At)
+                                            : std::next(At);
   const auto IsOver = [&State, Now](const auto &Entry) {
     return isOver(Entry.second, State.Tolerance.Window, Now);
   };
   std::erase_if(State.StandInGrants, IsOver);
-  std::erase_if(State.OwnGrants, IsOver);
+  std::erase_if(State.IsolatedGrants, IsOver);
 }
 
 std::vector<bucket_level> largestBuckets(const quota_owner &State,
--- a/src/libs/accounts/quota_owner.h
+++ b/src/libs/accounts/quota_owner.h
@@ -5,7 +5,7 @@
 ///
 /// The requests beyond a quota that are tolerated in a window are divided: half
 /// for the buckets of new owners, a quarter for stand-ins, and a quarter for
-/// hosts on their own, in equal parts. A new bucket begins with a quarter, so
+/// isolated hosts, in equal parts. A new bucket begins with a quarter, so
 /// that two changes of the owner within a window stay within the half.
 #pragma once
 
@@ -24,7 +24,7 @@
 
 namespace coriandertray {
 
-/// As what a host grants tokens.
+/// The capacity in which a host grants tokens.
 enum class quota_role : std::uint8_t {
   /// The first usable host of the duty.
   Owner,
@@ -32,14 +32,14 @@
   StandIn,
   /// Reaches too few other hosts to own accounts, or grants to itself because
   /// it reached none.
-  OnItsOwn
+  Isolated
 };
 
 /// \returns the name of \p Role for logs.
 [[nodiscard]] std::string_view nameOf(quota_role Role);
 
 /// A request for tokens.
-struct quota_ask {
+struct token_request {
   /// The host whose callers sent the requests.
   std::string Host;
   std::string Account;
@@ -49,17 +49,18 @@
   std::uint64_t ConfigVersion = 0;
   /// The time since another owner last granted tokens of the account to Host.
   std::optional<duration> GrantedElsewhere;
-  bool operator==(const quota_ask &) const = default;
+  bool operator==(const token_request &) const = default;
 };
 
-/// The grants of one host, by account.
+/// What one host has granted to all hosts that ask it, by account.
 struct quota_owner {
   quota_tolerance Tolerance;
-  /// The number of hosts that may be on their own.
+  /// The number of hosts among which the share of isolated hosts is divided.
   std::size_t HostCount = 1;
   std::map<std::string, quota_bucket, std::less<>> Buckets;
+  /// Grants in the last window, as StandIn and as Isolated.
   std::map<std::string, windowed_grants, std::less<>> StandInGrants;
-  std::map<std::string, windowed_grants, std::less<>> OwnGrants;
+  std::map<std::string, windowed_grants, std::less<>> IsolatedGrants;
   /// By duty; only those that this host owns or owned.
   std::map<std::string, ownership, std::less<>> Ownerships;
   /// When the process last ran, by the steady clock and by a clock that also
@@ -73,12 +74,12 @@
 /// \p Uptime is from a clock that also counts while the system is suspended.
 /// \returns the length of the pause, or zero. To be called more often than
 /// every \p MaxPause, and before every call of the other functions.
-duration noteRunning(quota_owner &State, time_point Now, duration Uptime,
-                     duration MaxPause);
+duration recordRunning(quota_owner &State, time_point Now, duration Uptime,
+                       duration MaxPause);
 
-/// Forgets when the process last ran, because noteRunning() is not called until
-/// further notice. Nothing may be granted until then.
-void stopNotingRuns(quota_owner &State);
+/// Forgets when the process last ran, because recordRunning() is not called
+/// until further notice. Nothing may be granted until then.
+void stopRecordingRuns(quota_owner &State);
 
 /// Sets whether this host owns \p Duty. \returns whether that changed.
 bool setOwned(quota_owner &State, const std::string &Duty, bool Owned,
@@ -94,10 +95,10 @@
                  const std::string &Account, const account_quota &Quota,
                  std::uint64_t ConfigVersion, time_point Now);
 
-/// Grants up to as many tokens as \p Ask asks for, as \p Role. A quota that is
-/// not valid grants none. \p Duty is the duty of the account.
+/// Grants up to as many tokens as \p Request asks for, as \p Role. A quota that
+/// is not valid grants none. \p Duty is the duty of the account.
 [[nodiscard]] quota_grant decide(quota_owner &State, const std::string &Duty,
-                                 const quota_ask &Ask, quota_role Role,
+                                 const token_request &Request, quota_role Role,
                                  time_point Now);
 
 /// Drops what has no effect on later decisions.
--- a/src/libs/entry_host/quota_broker.cpp
+++ b/src/libs/entry_host/quota_broker.cpp
@@ -92,40 +92,41 @@
       std::chrono::floor<milliseconds>(*Elapsed).count());
 }
 
-wire::quota_request_value toWire(const quota_ask &Ask, std::uint64_t Id) {
+wire::quota_request_value toWire(const token_request &Request,
+                                 std::uint64_t Id) {
   wire::quota_request_value Value;
   Value.id = Id;
-  Value.host = Ask.Host;
-  Value.account = Ask.Account;
-  Value.count = Ask.Count;
-  Value.requests_per_s = Ask.Quota.RequestsPerSecond;
-  Value.burst = Ask.Quota.Burst;
-  Value.config_version = Ask.ConfigVersion;
-  Value.granted_elsewhere_ms = elapsedWireMs(Ask.GrantedElsewhere);
+  Value.host = Request.Host;
+  Value.account = Request.Account;
+  Value.count = Request.Count;
+  Value.requests_per_s = Request.Quota.RequestsPerSecond;
+  Value.burst = Request.Quota.Burst;
+  Value.config_version = Request.ConfigVersion;
+  Value.granted_elsewhere_ms = elapsedWireMs(Request.GrantedElsewhere);
   return Value;
 }
 
 // Fails with FrameMalformed.
-result<quota_ask> fromWire(const wire::quota_request_value &Value) {
+result<token_request> fromWire(const wire::quota_request_value &Value) {
   const account_quota Quota = {Value.requests_per_s, Value.burst};
   const bool HasNames = !Value.host.empty() && !Value.account.empty() &&
                         Value.host.size() <= MaxNameBytes &&
                         Value.account.size() <= MaxNameBytes;
   if (!HasNames || Value.count == 0 || !isValid(Quota))
     return fail(error_code::FrameMalformed, "quota_request");
-  quota_ask Ask = {
+  token_request Request = {
       Value.host, Value.account,        std::min(Value.count, MaxCount),
       Quota,      Value.config_version, {}};
   if (Value.granted_elsewhere_ms != NotGrantedElsewhere)
-    Ask.GrantedElsewhere = milliseconds(Value.granted_elsewhere_ms);
-  return Ask;
+    Request.GrantedElsewhere = milliseconds(Value.granted_elsewhere_ms);
+  return Request;
 }
 
 // A role of a later version counts as one that can't refuse.
 quota_role toRole(std::uint8_t Value) {
-  return Value <= static_cast<std::uint8_t>(quota_role::OnItsOwn)
+  return Value <= static_cast<std::uint8_t>(quota_role::Isolated)
              ? static_cast<quota_role>(Value)
-             : quota_role::OnItsOwn;
+             : quota_role::Isolated;
 }
 
 void logMalformed(std::string_view Detail) {
@@ -190,7 +191,7 @@
   Peers.setDuties(std::string(DutyGroup), Duties);
   removeDuties(
       Owner, [this](const std::string &Duty) { return Duties.contains(Duty); });
-  noteRunning();
+  recordRunning();
   updateRoles();
   for (const client_account &Account : Accounts)
     updateQuota(Owner, quotaDutyOf(Account.Name), Account.Name, Account.Quota,
@@ -243,7 +244,7 @@
 
 quota_role quota_broker::roleFor(const std::string &Duty) {
   if (isCutOff())
-    return quota_role::OnItsOwn;
+    return quota_role::Isolated;
   for (const std::string &Host : Peers.hostsRankedFor(Duty)) {
     if (Host == Self)
       return quota_role::Owner;
@@ -320,7 +321,7 @@
     const auto Count = static_cast<std::uint32_t>(
         std::min<std::size_t>(State.Waiting.size(), MaxCount));
     const asked_grant Asked = co_await ask(Account, Count);
-    noteDecider(State, Asked.Role);
+    recordDecider(State, Asked.Role);
     distribute(State, Asked, Count);
     if (Asked.Role == quota_role::Owner || Asked.Grant.Granted >= Count)
       continue;
@@ -329,7 +330,7 @@
   }
 }
 
-void quota_broker::noteDecider(account_state &State, quota_role Role) {
+void quota_broker::recordDecider(account_state &State, quota_role Role) {
   const time_point Now = Clock.now();
   if (Role == quota_role::Owner) {
     State.WithoutOwnerSince.reset();
@@ -402,8 +403,8 @@
   return Latest ? std::optional(Clock.now() - *Latest) : std::nullopt;
 }
 
-quota_ask quota_broker::makeAsk(const std::string &Account,
-                                std::uint32_t Count) const {
+token_request quota_broker::makeTokenRequest(const std::string &Account,
+                                             std::uint32_t Count) const {
   const account_state &State = States.at(Account);
   return {Self, Account, Count, State.Quota, State.ConfigVersion, {}};
 }
@@ -411,24 +412,24 @@
 asio::awaitable<quota_broker::asked_grant>
 quota_broker::ask(std::string Account, std::uint32_t Count) {
   for (const std::string &Host : candidatesOf(Account)) {
-    quota_ask Ask = makeAsk(Account, Count);
-    Ask.GrantedElsewhere = grantedElsewhere(States.at(Account), Host);
+    token_request Request = makeTokenRequest(Account, Count);
+    Request.GrantedElsewhere = grantedElsewhere(States.at(Account), Host);
     if (Host == Self)
-      co_return decideHere(std::move(Ask), false);
-    const std::optional<asked_grant> Asked = co_await askHost(Host, Ask);
+      co_return decideHere(std::move(Request), false);
+    const std::optional<asked_grant> Asked = co_await askHost(Host, Request);
     if (Asked)
       co_return *Asked;
   }
-  quota_ask Ask = makeAsk(Account, Count);
-  co_return decideHere(std::move(Ask), true);
+  token_request Request = makeTokenRequest(Account, Count);
+  co_return decideHere(std::move(Request), true);
 }
 
 asio::awaitable<std::optional<quota_broker::asked_grant>>
-quota_broker::askHost(std::string Host, quota_ask Ask) {
+quota_broker::askHost(std::string Host, token_request Request) {
   const std::uint64_t Id = NextId++;
   const auto Pending = std::make_shared<pending_answer>(Context);
   Pending->Link = Peers.linkTo(Host);
-  if (!Peers.send(Host, makeBody(toWire(Ask, Id))))
+  if (!Peers.send(Host, makeBody(toWire(Request, Id))))
     co_return std::nullopt;
   PendingAnswers[Id] = Pending;
   const time_point End = Clock.now() + AnswerTimeout;
@@ -445,42 +446,42 @@
     co_return Asked;
   }
   logEvent(log_level::Info, "quota-unanswered",
-           {{"account", Ask.Account}, {"asked", Host}});
+           {{"account", Request.Account}, {"asked", Host}});
   if (Peers.linkTo(Host) == Pending->Link)
     Peers.dropLink(Host);
   co_return std::nullopt;
 }
 
 // This host may have a newer configuration than the one that asks.
-quota_ask quota_broker::withNewestQuota(quota_ask Ask) const {
-  const auto Found = Configured.find(Ask.Account);
-  if (Found == Configured.end() || ConfigVersion <= Ask.ConfigVersion)
-    return Ask;
-  Ask.Quota = Found->second.Quota;
-  Ask.ConfigVersion = ConfigVersion;
-  return Ask;
+token_request quota_broker::withNewestQuota(token_request Request) const {
+  const auto Found = Configured.find(Request.Account);
+  if (Found == Configured.end() || ConfigVersion <= Request.ConfigVersion)
+    return Request;
+  Request.Quota = Found->second.Quota;
+  Request.ConfigVersion = ConfigVersion;
+  return Request;
 }
 
-quota_broker::asked_grant quota_broker::decideHere(quota_ask Ask,
-                                                   bool OnItsOwn) {
+quota_broker::asked_grant quota_broker::decideHere(token_request Request,
+                                                   bool Isolated) {
   startUpkeepLoop();
-  noteRunning();
-  const std::string Duty = quotaDutyOf(Ask.Account);
-  const quota_role Role = OnItsOwn ? quota_role::OnItsOwn : roleFor(Duty);
-  noteOwned(Duty, Role == quota_role::Owner);
+  recordRunning();
+  const std::string Duty = quotaDutyOf(Request.Account);
+  const quota_role Role = Isolated ? quota_role::Isolated : roleFor(Duty);
+  recordOwned(Duty, Role == quota_role::Owner);
   Owner.HostCount = Peers.members().size();
-  const quota_ask Newest = withNewestQuota(std::move(Ask));
+  const token_request Newest = withNewestQuota(std::move(Request));
   return {decide(Owner, Duty, Newest, Role, Clock.now()), Role, Self};
 }
 
 void quota_broker::receiveRequest(const link_pointer &Link,
                                   const wire::quota_request_value &Value) {
-  const result<quota_ask> Ask = fromWire(Value);
-  if (!Ask) {
-    logMalformed(Ask.error().Detail);
+  const result<token_request> Request = fromWire(Value);
+  if (!Request) {
+    logMalformed(Request.error().Detail);
     return;
   }
-  const asked_grant Asked = decideHere(*Ask, false);
+  const asked_grant Asked = decideHere(*Request, false);
   wire::quota_answer_value Answer;
   Answer.id = Value.id;
   Answer.granted = Asked.Grant.Granted;
@@ -517,17 +518,17 @@
 
 // Does nothing unless the upkeep loop runs, as the time since the last call
 // says nothing then.
-void quota_broker::noteRunning() {
+void quota_broker::recordRunning() {
   if (!UpkeepRunning)
     return;
   const duration Pause =
-      coriandertray::noteRunning(Owner, Clock.now(), uptime(), AnswerTimeout);
+      coriandertray::recordRunning(Owner, Clock.now(), uptime(), AnswerTimeout);
   if (Pause > duration::zero())
     logEvent(log_level::Warning, "event-loop-paused",
              {{"pause_ms", toMilliseconds(Pause)}});
 }
 
-void quota_broker::noteOwned(const std::string &Duty, bool Owned) {
+void quota_broker::recordOwned(const std::string &Duty, bool Owned) {
   if (!Duties.contains(Duty) && Owned)
     return;
   if (setOwned(Owner, Duty, Owned, Clock.now()))
@@ -537,13 +538,13 @@
 
 void quota_broker::updateRoles() {
   for (const std::string &Duty : Duties)
-    noteOwned(Duty, roleFor(Duty) == quota_role::Owner);
+    recordOwned(Duty, roleFor(Duty) == quota_role::Owner);
 }
 
 void quota_broker::startUpkeepLoop() {
   if (std::exchange(UpkeepRunning, true))
     return;
-  stopNotingRuns(Owner);
+  stopRecordingRuns(Owner);
   asio::co_spawn(Context, upkeepLoop(), asio::detached);
 }
 
@@ -551,13 +552,14 @@
 asio::awaitable<void> quota_broker::upkeepLoop() {
   asio::steady_timer Timer(Context);
   for (int Round = 0;; ++Round) {
-    noteRunning();
+    recordRunning();
     if (Round % UpkeepsPerRoleUpdate == 0)
       updateRoles();
     if (Round % UpkeepsPerCleanup == 0)
       dropIdle(Owner, quotaDutyOf, Clock.now());
     const bool Empty = Configured.empty() && Owner.Buckets.empty() &&
-                       Owner.StandInGrants.empty() && Owner.OwnGrants.empty();
+                       Owner.StandInGrants.empty() &&
+                       Owner.IsolatedGrants.empty();
     if (Empty)
       break;
     Timer.expires_after(UpkeepInterval);
--- a/src/libs/entry_host/quota_broker.h
+++ b/src/libs/entry_host/quota_broker.h
@@ -3,8 +3,10 @@
 /// host, and grants those of the accounts that are this host's duty.
 ///
 /// The owner of an account is the first usable host ranked for the account's
-/// duty. A host that reaches none of the first-ranked hosts grants from a share
-/// of its own.
+/// duty. If it doesn't answer, the next one is asked, which grants a limited
+/// share as a stand-in. A host that reaches none of them, or fewer than half of
+/// its peers, is isolated and grants a smaller share to its own callers. Only
+/// owners find a quota to be used up; other refusals are Undecidable.
 #pragma once
 
 #include "entry_host/peer_network.h"
@@ -94,6 +96,7 @@
     asio::steady_timer Wakeup;
     time_point Since;
     std::optional<quota_decision> Decision;
+    /// Whether the caller's deadline has passed, so that a token has no use.
     bool Abandoned = false;
   };
   struct pending_answer {
@@ -115,6 +118,8 @@
     std::optional<time_point> WithoutOwnerSince;
     /// The last decision that was not an owner's.
     time_point LastWithoutOwner;
+    /// The last refusal by an owner. Until RefusedUntil, requests are refused
+    /// without asking, unless their configuration is newer than RefusedVersion.
     std::string RefusedBy;
     time_point RefusedUntil;
     std::uint64_t RefusedVersion = 0;
@@ -123,11 +128,13 @@
     /// When the owners last granted tokens, by host.
     std::map<std::string, time_point> OwnerGrants;
   };
+  /// A grant with the host that decided on it.
   struct asked_grant {
     quota_grant Grant;
     quota_role Role = quota_role::Owner;
     std::string Host;
   };
+  /// An account of the configuration in force.
   struct configured_account {
     account_quota Quota;
     std::string MetricLabel;
@@ -143,14 +150,14 @@
   asio::awaitable<void> askLoop(std::string Account);
   asio::awaitable<asked_grant> ask(std::string Account, std::uint32_t Count);
   asio::awaitable<std::optional<asked_grant>> askHost(std::string Host,
-                                                      quota_ask Ask);
-  [[nodiscard]] quota_ask makeAsk(const std::string &Account,
-                                  std::uint32_t Count) const;
+                                                      token_request Request);
+  [[nodiscard]] token_request makeTokenRequest(const std::string &Account,
+                                               std::uint32_t Count) const;
   [[nodiscard]] std::optional<duration>
   grantedElsewhere(const account_state &State, const std::string &Host) const;
-  [[nodiscard]] asked_grant decideHere(quota_ask Ask, bool OnItsOwn);
-  [[nodiscard]] quota_ask withNewestQuota(quota_ask Ask) const;
-  void noteDecider(account_state &State, quota_role Role);
+  [[nodiscard]] asked_grant decideHere(token_request Request, bool Isolated);
+  [[nodiscard]] token_request withNewestQuota(token_request Request) const;
+  void recordDecider(account_state &State, quota_role Role);
   [[nodiscard]] bool mayWaitForOwner(const account_state &State,
                                      const waiting_request &Waiting) const;
   void distribute(account_state &State, const asked_grant &Asked,
@@ -160,8 +167,8 @@
                       const wire::quota_request_value &Value);
   void receiveAnswer(const link_pointer &Link,
                      const wire::quota_answer_value &Value);
-  void noteRunning();
-  void noteOwned(const std::string &Duty, bool Owned);
+  void recordRunning();
+  void recordOwned(const std::string &Duty, bool Owned);
   void updateRoles();
   void chooseMetricLabels(const std::vector<client_account> &Accounts);
   void startUpkeepLoop();
--- a/tests/auto/accounts/tst_quota_owner.cpp
+++ b/tests/auto/accounts/tst_quota_owner.cpp
@@ -46,8 +46,8 @@
          toleratedExcess(Quota, Tolerance);
 }
 
-quota_ask makeAsk(std::uint32_t Count, const account_quota &Quota,
-                  std::uint64_t Version = 1) {
+token_request makeTokenRequest(std::uint32_t Count, const account_quota &Quota,
+                               std::uint64_t Version = 1) {
   return {"asker", "account", Count, Quota, Version, {}};
 }
 
@@ -57,13 +57,13 @@
   Owner.Tolerance = Tolerance;
   Owner.HostCount = HostCount;
   setOwned(Owner, Duty, true, Epoch - std::chrono::minutes(30));
-  noteRunning(Owner, Epoch, {}, MaxPause);
+  recordRunning(Owner, Epoch, {}, MaxPause);
   return Owner;
 }
 
-std::uint32_t grantedBy(quota_owner &Owner, const quota_ask &Ask,
+std::uint32_t grantedBy(quota_owner &Owner, const token_request &Request,
                         time_point Now, quota_role Role = quota_role::Owner) {
-  return decide(Owner, Duty, Ask, Role, Now).Granted;
+  return decide(Owner, Duty, Request, Role, Now).Granted;
 }
 
 /// One host of the model: it may run or not, and it asks as quota_broker does.
@@ -123,9 +123,9 @@
       advance(MaxPause);
       Hosts[Asker].UnusableUntil[Number] = Now + milliseconds(500);
     }
-    const quota_ask Ask = makeAsk(Count, Quota);
+    const token_request Request = makeTokenRequest(Count, Quota);
     return record(
-        grantedBy(Hosts[Asker].Owner, Ask, Now, quota_role::OnItsOwn));
+        grantedBy(Hosts[Asker].Owner, Request, Now, quota_role::Isolated));
   }
 
   /// \p Asker loses its link to \p Number for less time than it takes to check
@@ -169,7 +169,7 @@
       Host.OwnerGrants.clear();
     }
     Host.Owner.HostCount = Hosts.size();
-    noteRunning(Host.Owner, Now, Now - Epoch, MaxPause);
+    recordRunning(Host.Owner, Now, Now - Epoch, MaxPause);
     checkLinks(Number);
     setOwned(Host.Owner, Duty, roleOf(Number) == quota_role::Owner, Now);
   }
@@ -185,14 +185,14 @@
   std::uint32_t askHost(std::size_t Asker, std::size_t Number,
                         std::uint32_t Count) {
     wake(Number);
-    quota_ask Ask = makeAsk(Count, Quota);
+    token_request Request = makeTokenRequest(Count, Quota);
     for (const auto &[Granter, Time] : Hosts[Asker].OwnerGrants)
       if (Reports && Granter != Number)
-        Ask.GrantedElsewhere =
-            std::min(Ask.GrantedElsewhere.value_or(Now - Time), Now - Time);
+        Request.GrantedElsewhere =
+            std::min(Request.GrantedElsewhere.value_or(Now - Time), Now - Time);
     const quota_role Role = roleOf(Number);
     const std::uint32_t Granted =
-        grantedBy(Hosts[Number].Owner, Ask, Now, Role);
+        grantedBy(Hosts[Number].Owner, Request, Now, Role);
     if (Role == quota_role::Owner && Granted > 0)
       Hosts[Asker].OwnerGrants[Number] = Now;
     return record(Granted);
@@ -275,9 +275,9 @@
       const auto Count = static_cast<std::uint32_t>(
           std::min<double>(Random() % 6, Reference.Accrued));
       Reference.Accrued -= Count;
-      quota_ask Ask = makeAsk(Count, Quota);
-      Ask.Host = "host-" + std::to_string(Random() % 132);
-      RC_ASSERT(grantedBy(Owner, Ask, Now) == Count);
+      token_request Request = makeTokenRequest(Count, Quota);
+      Request.Host = "host-" + std::to_string(Random() % 132);
+      RC_ASSERT(grantedBy(Owner, Request, Now) == Count);
     }
   }));
 }
@@ -299,11 +299,11 @@
       const bool AskFirst = Random() % 2 == 0;
       const std::optional<time_point> Other =
           AskFirst ? LastBySecond : LastByFirst;
-      quota_ask Ask = makeAsk(20, Quota);
+      token_request Request = makeTokenRequest(20, Quota);
       if (Other)
-        Ask.GrantedElsewhere = Now - *Other;
+        Request.GrantedElsewhere = Now - *Other;
       const std::uint32_t Granted =
-          grantedBy(AskFirst ? First : Second, Ask, Now);
+          grantedBy(AskFirst ? First : Second, Request, Now);
       if (Granted > 0)
         (AskFirst ? LastByFirst : LastBySecond) = Now;
       Grants.push_back({Now, Granted});
@@ -316,11 +316,11 @@
 TEST_CASE("a report that is repeated takes nothing more") {
   const account_quota Quota = {10, 50};
   quota_owner Owner = makeOwner();
-  quota_ask Ask = makeAsk(1, Quota);
-  Ask.GrantedElsewhere = seconds(2);
+  token_request Request = makeTokenRequest(1, Quota);
+  Request.GrantedElsewhere = seconds(2);
   std::uint32_t Granted = 0;
   for (int Repeat = 0; Repeat < 30; ++Repeat)
-    Granted += grantedBy(Owner, Ask, Epoch);
+    Granted += grantedBy(Owner, Request, Epoch);
   CHECK(Granted == 20);
 }
 
@@ -330,11 +330,11 @@
   const account_quota Quota = {10, 30};
   for (const bool SteadyCounts : {true, false}) {
     quota_owner Owner = makeOwner();
-    CHECK(grantedBy(Owner, makeAsk(100, Quota), Epoch) == 30);
+    CHECK(grantedBy(Owner, makeTokenRequest(100, Quota), Epoch) == 30);
     const duration Pause = seconds(2);
     const time_point Now = Epoch + (SteadyCounts ? Pause : duration::zero());
-    CHECK(noteRunning(Owner, Now, Pause, MaxPause) == Pause);
-    CHECK(grantedBy(Owner, makeAsk(100, Quota), Now) == 0);
+    CHECK(recordRunning(Owner, Now, Pause, MaxPause) == Pause);
+    CHECK(grantedBy(Owner, makeTokenRequest(100, Quota), Now) == 0);
   }
 }
 
@@ -342,11 +342,12 @@
 TEST_CASE("after a pause a full bucket holds less by what accrued meanwhile") {
   const account_quota Quota = {10, 30};
   quota_owner Owner = makeOwner();
-  CHECK(grantedBy(Owner, makeAsk(1, Quota), Epoch) == 1);
-  noteRunning(Owner, Epoch + milliseconds(100), milliseconds(100), MaxPause);
-  noteRunning(Owner, Epoch + milliseconds(2100), milliseconds(2100), MaxPause);
-  CHECK(grantedBy(Owner, makeAsk(100, Quota), Epoch + milliseconds(2100)) ==
-        10);
+  CHECK(grantedBy(Owner, makeTokenRequest(1, Quota), Epoch) == 1);
+  recordRunning(Owner, Epoch + milliseconds(100), milliseconds(100), MaxPause);
+  recordRunning(Owner, Epoch + milliseconds(2100), milliseconds(2100),
+                MaxPause);
+  CHECK(grantedBy(Owner, makeTokenRequest(100, Quota),
+                  Epoch + milliseconds(2100)) == 10);
 }
 
 // Guards against a refusal of the only request of an account that has been idle
@@ -354,25 +355,27 @@
 TEST_CASE("a pause leaves one token to an account that had one") {
   const account_quota Quota = {0.1, 1};
   quota_owner Owner = makeOwner();
-  noteRunning(Owner, Epoch + milliseconds(100), milliseconds(100), MaxPause);
-  noteRunning(Owner, Epoch + milliseconds(300), milliseconds(300), MaxPause);
+  recordRunning(Owner, Epoch + milliseconds(100), milliseconds(100), MaxPause);
+  recordRunning(Owner, Epoch + milliseconds(300), milliseconds(300), MaxPause);
   const time_point Now = Epoch + milliseconds(300);
-  CHECK(grantedBy(Owner, makeAsk(1, Quota), Now) == 1);
-  CHECK(grantedBy(Owner, makeAsk(1, Quota), Now) == 0);
+  CHECK(grantedBy(Owner, makeTokenRequest(1, Quota), Now) == 1);
+  CHECK(grantedBy(Owner, makeTokenRequest(1, Quota), Now) == 0);
   const time_point Later = Now + seconds(11);
   for (time_point Time = Now; Time < Later; Time += milliseconds(100))
-    noteRunning(Owner, Time, Time - Epoch, MaxPause);
-  CHECK(grantedBy(Owner, makeAsk(1, Quota), Later) == 1);
-  noteRunning(Owner, Later + seconds(1), Later - Epoch + seconds(1), MaxPause);
-  CHECK(grantedBy(Owner, makeAsk(1, Quota), Later + seconds(1)) == 0);
+    recordRunning(Owner, Time, Time - Epoch, MaxPause);
+  CHECK(grantedBy(Owner, makeTokenRequest(1, Quota), Later) == 1);
+  recordRunning(Owner, Later + seconds(1), Later - Epoch + seconds(1),
+                MaxPause);
+  CHECK(grantedBy(Owner, makeTokenRequest(1, Quota), Later + seconds(1)) == 0);
 }
 
 // Guards against a busy host that is taken for a suspended one.
 TEST_CASE("a delay shorter than the answer timeout costs no tokens") {
   const account_quota Quota = {10, 30};
   quota_owner Owner = makeOwner();
-  noteRunning(Owner, Epoch + milliseconds(110), milliseconds(110), MaxPause);
-  CHECK(grantedBy(Owner, makeAsk(100, Quota), Epoch + milliseconds(110)) == 30);
+  recordRunning(Owner, Epoch + milliseconds(110), milliseconds(110), MaxPause);
+  CHECK(grantedBy(Owner, makeTokenRequest(100, Quota),
+                  Epoch + milliseconds(110)) == 30);
 }
 
 // Guards against new owners that grant a whole burst again, and against buckets
@@ -382,26 +385,27 @@
   quota_owner Owner;
   Owner.Tolerance = Tolerance;
   setOwned(Owner, Duty, true, Epoch);
-  CHECK(grantedBy(Owner, makeAsk(200, Quota), Epoch) == 8);
+  CHECK(grantedBy(Owner, makeTokenRequest(200, Quota), Epoch) == 8);
   quota_owner Established = makeOwner();
-  CHECK(grantedBy(Established, makeAsk(200, Quota), Epoch) == 100);
+  CHECK(grantedBy(Established, makeTokenRequest(200, Quota), Epoch) == 100);
 }
 
-// Guards against stand-ins and hosts on their own that together use up the part
+// Guards against stand-ins and isolated hosts that together use up the part
 // of the new owners.
-TEST_CASE("stand-ins and hosts on their own grant their shares per window") {
+TEST_CASE("stand-ins and isolated hosts grant their shares per window") {
   const account_quota Quota = {100, 100};
   quota_owner Owner = makeOwner(4);
   const auto GrantedIn = [&](quota_role Role) {
     std::vector<grant_event> Grants;
     for (int Step = 0; Step < 400; ++Step) {
       const time_point Now = Epoch + milliseconds(37 * Step);
-      Grants.push_back({Now, grantedBy(Owner, makeAsk(3, Quota), Now, Role)});
+      Grants.push_back(
+          {Now, grantedBy(Owner, makeTokenRequest(3, Quota), Now, Role)});
     }
     return mostInWindow(Grants);
   };
   CHECK(GrantedIn(quota_role::StandIn) == 20);
-  CHECK(GrantedIn(quota_role::OnItsOwn) == 5);
+  CHECK(GrantedIn(quota_role::Isolated) == 5);
 }
 
 // Guards against shares of hosts that depend on their recent use.
@@ -410,9 +414,9 @@
   quota_owner Owner = makeOwner();
   std::uint32_t Granted = 0;
   for (int Step = 0; Step < 100; ++Step) {
-    quota_ask Ask = makeAsk(1, Quota);
-    Ask.Host = Step < 50 ? "only" : "host-" + std::to_string(Step % 7);
-    Granted += grantedBy(Owner, Ask, Epoch + milliseconds(50 * Step));
+    token_request Request = makeTokenRequest(1, Quota);
+    Request.Host = Step < 50 ? "only" : "host-" + std::to_string(Step % 7);
+    Granted += grantedBy(Owner, Request, Epoch + milliseconds(50 * Step));
   }
   CHECK(Granted == 100);
 }
@@ -424,12 +428,12 @@
   std::mt19937_64 Random(7);
   std::uint32_t Refused = 0;
   for (int Step = 0; Step < 86 * 25 * 4; ++Step) {
-    quota_ask Ask = makeAsk(1, Quota);
-    Ask.Account = "account-" + std::to_string(Step % 86);
-    Ask.Host = "host-" + std::to_string(Random() % 132);
+    token_request Request = makeTokenRequest(1, Quota);
+    Request.Account = "account-" + std::to_string(Step % 86);
+    Request.Host = "host-" + std::to_string(Random() % 132);
     const time_point Now = Epoch + std::chrono::microseconds(465 * Step);
-    noteRunning(Owner, Now, Now - Epoch, MaxPause);
-    Refused += 1 - grantedBy(Owner, Ask, Now);
+    recordRunning(Owner, Now, Now - Epoch, MaxPause);
+    Refused += 1 - grantedBy(Owner, Request, Now);
   }
   CHECK(Refused == 0);
 }
@@ -439,13 +443,15 @@
   quota_owner Owner = makeOwner();
   const account_quota High = {10, 100};
   const account_quota Low = {1, 5};
-  CHECK(grantedBy(Owner, makeAsk(1, High, 3), Epoch) == 1);
-  CHECK(grantedBy(Owner, makeAsk(100, Low, 4), Epoch) == 5);
-  CHECK(grantedBy(Owner, makeAsk(100, High, 3), Epoch + seconds(2)) == 2);
-  CHECK(grantedBy(Owner, makeAsk(200, High, 5), Epoch + seconds(2)) == 95);
+  CHECK(grantedBy(Owner, makeTokenRequest(1, High, 3), Epoch) == 1);
+  CHECK(grantedBy(Owner, makeTokenRequest(100, Low, 4), Epoch) == 5);
+  CHECK(grantedBy(Owner, makeTokenRequest(100, High, 3), Epoch + seconds(2)) ==
+        2);
+  CHECK(grantedBy(Owner, makeTokenRequest(200, High, 5), Epoch + seconds(2)) ==
+        95);
   const account_quota Unlimited;
-  CHECK(grantedBy(Owner, makeAsk(200, Unlimited, 6), Epoch + seconds(2)) ==
-        200);
+  CHECK(grantedBy(Owner, makeTokenRequest(200, Unlimited, 6),
+                  Epoch + seconds(2)) == 200);
 }
 
 // Guards against callers that all come back for the same token, or for none.
@@ -457,14 +463,14 @@
     std::vector<time_point> Returns;
     for (int Caller = 0; Caller < 15; ++Caller) {
       const time_point Now = Epoch + milliseconds(Caller);
-      const quota_grant Grant =
-          decide(Owner, Duty, makeAsk(1, Quota), quota_role::Owner, Now);
+      const quota_grant Grant = decide(Owner, Duty, makeTokenRequest(1, Quota),
+                                       quota_role::Owner, Now);
       if (Grant.Granted == 0)
         Returns.push_back(Now + Grant.RetryAfter + milliseconds(1));
     }
     std::ranges::sort(Returns);
     for (const time_point Return : Returns)
-      RC_ASSERT(grantedBy(Owner, makeAsk(1, Quota), Return) == 1);
+      RC_ASSERT(grantedBy(Owner, makeTokenRequest(1, Quota), Return) == 1);
   }));
 }
 
@@ -472,17 +478,17 @@
 TEST_CASE("callers of slow accounts are told when their token accrues") {
   const account_quota Quota = {0.1, 1};
   quota_owner Owner = makeOwner();
-  CHECK(grantedBy(Owner, makeAsk(1, Quota), Epoch) == 1);
+  CHECK(grantedBy(Owner, makeTokenRequest(1, Quota), Epoch) == 1);
   const auto RefuseAt = [&](time_point Now) {
     const quota_grant Grant =
-        decide(Owner, Duty, makeAsk(1, Quota), quota_role::Owner, Now);
+        decide(Owner, Duty, makeTokenRequest(1, Quota), quota_role::Owner, Now);
     CHECK(Grant.Granted == 0);
     return toSeconds(Now - Epoch + Grant.RetryAfter);
   };
   CHECK(RefuseAt(Epoch + seconds(1)) == doctest::Approx(10));
   CHECK(RefuseAt(Epoch + seconds(2)) == doctest::Approx(20));
-  CHECK(grantedBy(Owner, makeAsk(1, Quota), Epoch + seconds(10)) == 1);
-  CHECK(grantedBy(Owner, makeAsk(1, Quota), Epoch + seconds(20)) == 1);
+  CHECK(grantedBy(Owner, makeTokenRequest(1, Quota), Epoch + seconds(10)) == 1);
+  CHECK(grantedBy(Owner, makeTokenRequest(1, Quota), Epoch + seconds(20)) == 1);
 }
 
 // Guards against infinite or negative levels from values out of range.
@@ -493,13 +499,13 @@
        {account_quota{NotANumber, 1}, account_quota{1, Infinite},
         account_quota{-1, 1}, account_quota{1, -1}}) {
     quota_owner Owner = makeOwner();
-    CHECK(grantedBy(Owner, makeAsk(5, Quota), Epoch) == 0);
-    CHECK(grantedBy(Owner, makeAsk(5, {10, 50}), Epoch) == 5);
+    CHECK(grantedBy(Owner, makeTokenRequest(5, Quota), Epoch) == 0);
+    CHECK(grantedBy(Owner, makeTokenRequest(5, {10, 50}), Epoch) == 5);
   }
   quota_owner Owner = makeOwner();
-  CHECK(grantedBy(Owner, makeAsk(4294967295, {10, 50}), Epoch) == 50);
+  CHECK(grantedBy(Owner, makeTokenRequest(4294967295, {10, 50}), Epoch) == 50);
   quota_owner Slow = makeOwner();
-  CHECK(grantedBy(Slow, makeAsk(5, {1e-300, 1}), Epoch) == 1);
+  CHECK(grantedBy(Slow, makeTokenRequest(5, {1e-300, 1}), Epoch) == 1);
 }
 
 // Guards against memory that grows with the accounts ever seen, and against
@@ -507,21 +513,23 @@
 TEST_CASE("full and unused buckets are dropped without a loss") {
   quota_owner Owner = makeOwner();
   const account_quota Quota = {10, 60};
-  CHECK(grantedBy(Owner, makeAsk(60, Quota), Epoch) == 60);
+  CHECK(grantedBy(Owner, makeTokenRequest(60, Quota), Epoch) == 60);
   const auto DutyOf = [](const std::string &) { return Duty; };
   dropIdle(Owner, DutyOf, Epoch + seconds(59));
   CHECK(Owner.Buckets.size() == 1);
   dropIdle(Owner, DutyOf, Epoch + seconds(61));
   CHECK(Owner.Buckets.empty());
-  CHECK(grantedBy(Owner, makeAsk(100, Quota), Epoch + seconds(61)) == 60);
+  CHECK(grantedBy(Owner, makeTokenRequest(100, Quota), Epoch + seconds(61)) ==
+        60);
 }
 
 // Guards against a former owner that grants its old level in addition.
 TEST_CASE("a host that owned the account before starts like a new owner") {
   quota_owner Owner = makeOwner();
   const account_quota Quota = {10, 100};
-  CHECK(grantedBy(Owner, makeAsk(1, Quota), Epoch) == 1);
+  CHECK(grantedBy(Owner, makeTokenRequest(1, Quota), Epoch) == 1);
   setOwned(Owner, Duty, false, Epoch);
   setOwned(Owner, Duty, true, Epoch + seconds(30));
-  CHECK(grantedBy(Owner, makeAsk(200, Quota), Epoch + seconds(30)) == 8);
+  CHECK(grantedBy(Owner, makeTokenRequest(200, Quota), Epoch + seconds(30)) ==
+        8);
 }
