--- a/src/libs/accounts/quota_bucket.cpp
+++ b/src/libs/accounts/quota_bucket.cpp
@@ -16,6 +16,12 @@
 constexpr double RoundingSlack = 1e-6;
 // Grants within this part of the window are counted together, as of the latest.
 constexpr int EntriesPerWindow = 16;
+// Most callers wait for a fraction of a request's time limit at most, so a
+// later time has no use unless tokens accrue more slowly.
+constexpr duration UsualMaxRetryAfter = seconds(5);
+constexpr duration LongestMaxRetryAfter = seconds(3600);
+// Refused callers of a slow account that are told different times.
+constexpr double SpacedReturns = 4;
 
 double capacityOf(const account_quota &Quota) {
   return std::max(1.0, Quota.Burst);
@@ -49,6 +55,8 @@
 // During a gap another owner has at most the tokens that accrue meanwhile, in
 // addition to those of a new bucket. Both together must not hold more than the
 // burst, so this host keeps the rest of the burst at most, and gains nothing.
+// One token is kept, because an account whose burst is one token would be
+// refused after each pause, although it sent nothing.
 // After a gap of a window it is like any other new owner.
 void applyGap(quota_bucket &Bucket, const ownership_gap &Gap,
               const quota_tolerance &Tolerance) {
@@ -60,7 +68,7 @@
   const double GrantedElsewhere =
       Bucket.Quota.RequestsPerSecond * toSeconds(Gap.Length);
   limitLevel(Bucket,
-             std::max(0.0, capacityOf(Bucket.Quota) - GrantedElsewhere));
+             std::max(1.0, capacityOf(Bucket.Quota) - GrantedElsewhere));
   Bucket.UpdatedAt = std::max(Bucket.UpdatedAt, Gap.End);
 }
 
@@ -76,21 +84,22 @@
   Bucket.Credit = std::max(0.0, Bucket.Credit - (Count - FromAccrued));
 }
 
-duration promiseReturn(quota_bucket &Bucket, std::uint32_t Refused,
-                       duration MaxRetryAfter, time_point Now) {
+duration scheduleReturns(quota_bucket &Bucket, std::uint32_t Refused,
+                         time_point Now) {
   const double Rate = Bucket.Quota.RequestsPerSecond;
+  const duration MaxRetryAfter = maxRetryAfter(Bucket.Quota);
   const double Missing = std::max(0.0, 1 - Bucket.Accrued - Bucket.Credit);
   const time_point Latest = Now + MaxRetryAfter;
   const double MaxWait = toSeconds(MaxRetryAfter);
   const time_point NextToken =
       Now + fromSeconds(std::min(MaxWait, Missing / Rate));
-  const time_point AfterPromised =
-      Bucket.PromisedUntil + fromSeconds(std::min(MaxWait, 1 / Rate));
+  const time_point AfterLastReturn =
+      Bucket.LastReturn + fromSeconds(std::min(MaxWait, 1 / Rate));
   const time_point First = std::min(
-      Latest, Bucket.PromisedUntil > Now ? std::max(AfterPromised, NextToken)
-                                         : NextToken);
+      Latest, Bucket.LastReturn > Now ? std::max(AfterLastReturn, NextToken)
+                                      : NextToken);
   const double Others = std::min(MaxWait, (Refused - 1) / Rate);
-  Bucket.PromisedUntil = std::min(Latest, First + fromSeconds(Others));
+  Bucket.LastReturn = std::min(Latest, First + fromSeconds(Others));
   return First - Now;
 }
 
@@ -125,6 +134,12 @@
          Quota.RequestsPerSecond >= 0 && Quota.Burst >= 0;
 }
 
+duration maxRetryAfter(const account_quota &Quota) {
+  const double Spaced = std::min(toSeconds(LongestMaxRetryAfter),
+                                 SpacedReturns / Quota.RequestsPerSecond);
+  return std::max(UsualMaxRetryAfter, fromSeconds(Spaced));
+}
+
 double toleratedExcess(const account_quota &Quota,
                        const quota_tolerance &Tolerance) {
   const double Allowed =
@@ -168,7 +183,7 @@
 }
 
 quota_grant takeTokens(quota_bucket &Bucket, std::uint32_t Count,
-                       duration MaxRetryAfter, time_point Now) {
+                       time_point Now) {
   Bucket.UsedAt = Now;
   const double Whole =
       std::floor(Bucket.Accrued + Bucket.Credit + RoundingSlack);
@@ -177,7 +192,7 @@
   subtract(Bucket, Granted);
   if (Granted == Count)
     return {Granted, duration::zero()};
-  return {Granted, promiseReturn(Bucket, Count - Granted, MaxRetryAfter, Now)};
+  return {Granted, scheduleReturns(Bucket, Count - Granted, Now)};
 }
 
 bool isIdle(const quota_bucket &Bucket, duration Time, time_point Now) {
--- a/src/libs/entry_host/quota_broker.cpp
+++ b/src/libs/entry_host/quota_broker.cpp
@@ -31,14 +31,19 @@
 constexpr duration MaxRememberedRefusal = milliseconds(200);
 // Links to other hosts are checked every 500 ms, so an owner is found by then.
 constexpr duration UndecidableRetryAfter = milliseconds(500);
-constexpr duration MaxRetryAfter = seconds(5);
+// A request waits this long for an owner. Links are opened again within 500 ms.
+constexpr duration MaxOwnerWait = milliseconds(600);
+// After this time without an owner, requests don't wait for it.
+constexpr duration OwnerAbsentTime = seconds(1);
+constexpr duration AskAgainInterval = milliseconds(40);
 // Much shorter than AnswerTimeout, to tell a paused process from an idle one.
 constexpr duration UpkeepInterval = milliseconds(40);
 constexpr int UpkeepsPerRoleUpdate = 5;
 constexpr int UpkeepsPerCleanup = 250;
 constexpr duration CutOffCheckInterval = milliseconds(20);
-constexpr std::size_t AccountsPerDuty = 16;
-constexpr std::size_t MaxDuties = 64;
+// Does not depend on the number of accounts: if accounts moved between owners
+// of long standing, these would grant another burst.
+constexpr std::size_t DutyCount = 16;
 // Requests asked for in one message, and the most that an owner accepts.
 constexpr std::uint32_t MaxCount = 4096;
 constexpr std::size_t MaxNameBytes = 256;
@@ -50,16 +55,16 @@
 constexpr std::uint32_t NotGrantedElsewhere = 4294967295;
 // Other grants are so long ago that buckets have filled up since.
 constexpr duration MaxGrantAge = seconds(3600);
+// Later times from other hosts are not passed on to callers.
+constexpr duration LongestRetryAfter = seconds(3600);
 
 std::string dutyName(std::size_t Number) {
   return "quota/" + std::to_string(Number);
 }
 
-std::set<std::string> makeDuties(std::size_t AccountCount) {
-  const std::size_t Count = std::min(
-      MaxDuties, (AccountCount + AccountsPerDuty - 1) / AccountsPerDuty);
+std::set<std::string> makeDuties() {
   std::set<std::string> Duties;
-  for (std::size_t Number = 0; Number < Count; ++Number)
+  for (std::size_t Number = 0; Number < DutyCount; ++Number)
     Duties.insert(dutyName(Number));
   return Duties;
 }
@@ -76,7 +81,7 @@
 std::uint32_t toWireMs(duration Value) {
   const auto Ms = std::chrono::ceil<milliseconds>(Value).count();
   return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
-      Ms, 0, std::chrono::floor<milliseconds>(MaxGrantAge).count()));
+      Ms, 0, std::chrono::floor<milliseconds>(LongestRetryAfter).count()));
 }
 
 // Rounds down, so that a report never states a longer time than has passed.
@@ -87,50 +92,51 @@
       std::chrono::floor<milliseconds>(*Elapsed).count());
 }
 
-wire::quota_request_value toWire(const quota_ask &Ask, std::uint64_t Id) {
+wire::quota_request_value toWire(const token_request &Request,
+                                 std::uint64_t Id) {
   wire::quota_request_value Value;
   Value.id = Id;
-  Value.host = Ask.Host;
-  Value.account = Ask.Account;
-  Value.count = Ask.Count;
-  Value.requests_per_s = Ask.Quota.RequestsPerSecond;
-  Value.burst = Ask.Quota.Burst;
-  Value.config_version = Ask.ConfigVersion;
-  Value.granted_elsewhere_ms = elapsedWireMs(Ask.GrantedElsewhere);
+  Value.host = Request.Host;
+  Value.account = Request.Account;
+  Value.count = Request.Count;
+  Value.requests_per_s = Request.Quota.RequestsPerSecond;
+  Value.burst = Request.Quota.Burst;
+  Value.config_version = Request.ConfigVersion;
+  Value.granted_elsewhere_ms = elapsedWireMs(Request.GrantedElsewhere);
   return Value;
 }
 
 // Fails with FrameMalformed.
-result<quota_ask> fromWire(const wire::quota_request_value &Value) {
+result<token_request> fromWire(const wire::quota_request_value &Value) {
   const account_quota Quota = {Value.requests_per_s, Value.burst};
   const bool HasNames = !Value.host.empty() && !Value.account.empty() &&
                         Value.host.size() <= MaxNameBytes &&
                         Value.account.size() <= MaxNameBytes;
   if (!HasNames || Value.count == 0 || !isValid(Quota))
     return fail(error_code::FrameMalformed, "quota_request");
-  quota_ask Ask = {
+  token_request Request = {
       Value.host, Value.account,        std::min(Value.count, MaxCount),
       Quota,      Value.config_version, {}};
   if (Value.granted_elsewhere_ms != NotGrantedElsewhere)
-    Ask.GrantedElsewhere = milliseconds(Value.granted_elsewhere_ms);
-  return Ask;
+    Request.GrantedElsewhere = milliseconds(Value.granted_elsewhere_ms);
+  return Request;
 }
 
 // A role of a later version counts as one that can't refuse.
 quota_role toRole(std::uint8_t Value) {
-  return Value <= static_cast<std::uint8_t>(quota_role::OnItsOwn)
+  return Value <= static_cast<std::uint8_t>(quota_role::Isolated)
              ? static_cast<quota_role>(Value)
-             : quota_role::OnItsOwn;
+             : quota_role::Isolated;
 }
 
 void logMalformed(std::string_view Detail) {
   logEvent(log_level::Warning, "peer-message-malformed", {{"detail", Detail}});
 }
 
-// The time in which \p Count tokens accrue, at most MaxRetryAfter.
+// The time in which \p Count tokens accrue, at most maxRetryAfter().
 duration accrualTime(double Count, const account_quota &Quota) {
-  const double Seconds =
-      std::min(toSeconds(MaxRetryAfter), Count / Quota.RequestsPerSecond);
+  const double Seconds = std::min(toSeconds(maxRetryAfter(Quota)),
+                                  Count / Quota.RequestsPerSecond);
   return std::chrono::duration_cast<duration>(
       std::chrono::duration<double>(Seconds));
 }
@@ -160,6 +166,10 @@
 
 } // namespace
 
+std::string quotaDutyOf(std::string_view Account) {
+  return dutyName(stableHash(Account) % DutyCount);
+}
+
 quota_broker::quota_broker(asio::io_context &Context, const clock_source &Clock,
                            peer_network &Peers, metric_registry &Metrics,
                            std::string Self, quota_tolerance Tolerance)
@@ -177,14 +187,14 @@
   ConfigVersion = Version;
   Configured.clear();
   chooseMetricLabels(Accounts);
-  Duties = makeDuties(Accounts.size());
+  Duties = Accounts.empty() ? std::set<std::string>() : makeDuties();
   Peers.setDuties(std::string(DutyGroup), Duties);
   removeDuties(
       Owner, [this](const std::string &Duty) { return Duties.contains(Duty); });
-  noteRunning();
+  recordRunning();
   updateRoles();
   for (const client_account &Account : Accounts)
-    updateQuota(Owner, dutyOf(Account.Name), Account.Name, Account.Quota,
+    updateQuota(Owner, quotaDutyOf(Account.Name), Account.Name, Account.Quota,
                 Version, Clock.now());
   std::erase_if(States, [this](const auto &Entry) {
     return !Entry.second.Asking && !Configured.contains(Entry.first);
@@ -223,11 +233,6 @@
                     std::string(nameOf(Verdict)) + "\"");
 }
 
-std::string quota_broker::dutyOf(std::string_view Account) const {
-  return dutyName(stableHash(Account) %
-                  std::max<std::size_t>(1, Duties.size()));
-}
-
 bool quota_broker::isCutOff() {
   const time_point Now = Clock.now();
   if (Now - CutOffCheckedAt >= CutOffCheckInterval) {
@@ -239,7 +244,7 @@
 
 quota_role quota_broker::roleFor(const std::string &Duty) {
   if (isCutOff())
-    return quota_role::OnItsOwn;
+    return quota_role::Isolated;
   for (const std::string &Host : Peers.hostsRankedFor(Duty)) {
     if (Host == Self)
       return quota_role::Owner;
@@ -252,7 +257,7 @@
 std::vector<std::string>
 quota_broker::candidatesOf(const std::string &Account) const {
   std::vector<std::string> Hosts;
-  for (const std::string &Host : Peers.hostsRankedFor(dutyOf(Account)))
+  for (const std::string &Host : Peers.hostsRankedFor(quotaDutyOf(Account)))
     if (Hosts.size() < MaxHostsAsked && Peers.isUsable(Host))
       Hosts.push_back(Host);
   return Hosts;
@@ -267,7 +272,7 @@
   const time_point Now = Clock.now();
   const time_point Next =
       std::max(Now, State.LastReturn) + accrualTime(1, State.Quota);
-  State.LastReturn = std::min(Next, Now + MaxRetryAfter);
+  State.LastReturn = std::min(Next, Now + maxRetryAfter(State.Quota));
   return {quota_verdict::Refused, State.LastReturn - Now, "remembered-refusal",
           State.RefusedBy};
 }
@@ -286,7 +291,7 @@
     countDecision(Account.Name, quota_verdict::Refused);
     co_return refuseAgain(State);
   }
-  const auto Waiting = std::make_shared<waiting_request>(Context);
+  const auto Waiting = std::make_shared<waiting_request>(Context, Clock.now());
   State.Waiting.push_back(Waiting);
   if (!std::exchange(State.Asking, true))
     asio::co_spawn(Context, askLoop(Account.Name), asio::detached);
@@ -304,6 +309,7 @@
 
 // Asks for the tokens of all requests that wait, in one message after another.
 asio::awaitable<void> quota_broker::askLoop(std::string Account) {
+  asio::steady_timer Timer(Context);
   for (;;) {
     account_state &State = States[Account];
     std::erase_if(State.Waiting,
@@ -315,8 +321,34 @@
     const auto Count = static_cast<std::uint32_t>(
         std::min<std::size_t>(State.Waiting.size(), MaxCount));
     const asked_grant Asked = co_await ask(Account, Count);
+    recordDecider(State, Asked.Role);
     distribute(State, Asked, Count);
+    if (Asked.Role == quota_role::Owner || Asked.Grant.Granted >= Count)
+      continue;
+    Timer.expires_after(AskAgainInterval);
+    co_await Timer.async_wait(UseTuple);
+  }
+}
+
+void quota_broker::recordDecider(account_state &State, quota_role Role) {
+  const time_point Now = Clock.now();
+  if (Role == quota_role::Owner) {
+    State.WithoutOwnerSince.reset();
+    return;
   }
+  // What was found before the last requests came says nothing about the owner.
+  if (!State.WithoutOwnerSince ||
+      Now - State.LastWithoutOwner >= OwnerAbsentTime)
+    State.WithoutOwnerSince = Now;
+  State.LastWithoutOwner = Now;
+}
+
+bool quota_broker::mayWaitForOwner(const account_state &State,
+                                   const waiting_request &Waiting) const {
+  const time_point Now = Clock.now();
+  return State.WithoutOwnerSince &&
+         Now - *State.WithoutOwnerSince < OwnerAbsentTime &&
+         Now - Waiting.Since < MaxOwnerWait;
 }
 
 void quota_broker::distribute(account_state &State, const asked_grant &Asked,
@@ -328,6 +360,10 @@
     State.OwnerGrants[Asked.Host] = Now;
   for (std::uint32_t Number = 0; Number < Count && !State.Waiting.empty();) {
     const auto Waiting = State.Waiting.front();
+    // Those behind it have not waited longer.
+    if (Number >= Granted && !Waiting->Abandoned && !ByOwner &&
+        mayWaitForOwner(State, *Waiting))
+      return;
     State.Waiting.pop_front();
     if (Waiting->Abandoned)
       continue;
@@ -339,7 +375,7 @@
       State.LastReturn =
           std::min(Now + Asked.Grant.RetryAfter +
                        accrualTime(Number - Granted, State.Quota),
-                   Now + MaxRetryAfter);
+                   Now + maxRetryAfter(State.Quota));
       Decision.Verdict =
           ByOwner ? quota_verdict::Refused : quota_verdict::Undecidable;
       Decision.RetryAfter =
@@ -367,8 +403,8 @@
   return Latest ? std::optional(Clock.now() - *Latest) : std::nullopt;
 }
 
-quota_ask quota_broker::makeAsk(const std::string &Account,
-                                std::uint32_t Count) const {
+token_request quota_broker::makeTokenRequest(const std::string &Account,
+                                             std::uint32_t Count) const {
   const account_state &State = States.at(Account);
   return {Self, Account, Count, State.Quota, State.ConfigVersion, {}};
 }
@@ -376,24 +412,24 @@
 asio::awaitable<quota_broker::asked_grant>
 quota_broker::ask(std::string Account, std::uint32_t Count) {
   for (const std::string &Host : candidatesOf(Account)) {
-    quota_ask Ask = makeAsk(Account, Count);
-    Ask.GrantedElsewhere = grantedElsewhere(States.at(Account), Host);
+    token_request Request = makeTokenRequest(Account, Count);
+    Request.GrantedElsewhere = grantedElsewhere(States.at(Account), Host);
     if (Host == Self)
-      co_return decideHere(std::move(Ask), false);
-    const std::optional<asked_grant> Asked = co_await askHost(Host, Ask);
+      co_return decideHere(std::move(Request), false);
+    const std::optional<asked_grant> Asked = co_await askHost(Host, Request);
     if (Asked)
       co_return *Asked;
   }
-  quota_ask Ask = makeAsk(Account, Count);
-  co_return decideHere(std::move(Ask), true);
+  token_request Request = makeTokenRequest(Account, Count);
+  co_return decideHere(std::move(Request), true);
 }
 
 asio::awaitable<std::optional<quota_broker::asked_grant>>
-quota_broker::askHost(std::string Host, quota_ask Ask) {
+quota_broker::askHost(std::string Host, token_request Request) {
   const std::uint64_t Id = NextId++;
   const auto Pending = std::make_shared<pending_answer>(Context);
   Pending->Link = Peers.linkTo(Host);
-  if (!Peers.send(Host, makeBody(toWire(Ask, Id))))
+  if (!Peers.send(Host, makeBody(toWire(Request, Id))))
     co_return std::nullopt;
   PendingAnswers[Id] = Pending;
   const time_point End = Clock.now() + AnswerTimeout;
@@ -410,42 +446,42 @@
     co_return Asked;
   }
   logEvent(log_level::Info, "quota-unanswered",
-           {{"account", Ask.Account}, {"asked", Host}});
+           {{"account", Request.Account}, {"asked", Host}});
   if (Peers.linkTo(Host) == Pending->Link)
     Peers.dropLink(Host);
   co_return std::nullopt;
 }
 
 // This host may have a newer configuration than the one that asks.
-quota_ask quota_broker::withNewestQuota(quota_ask Ask) const {
-  const auto Found = Configured.find(Ask.Account);
-  if (Found == Configured.end() || ConfigVersion <= Ask.ConfigVersion)
-    return Ask;
-  Ask.Quota = Found->second.Quota;
-  Ask.ConfigVersion = ConfigVersion;
-  return Ask;
+token_request quota_broker::withNewestQuota(token_request Request) const {
+  const auto Found = Configured.find(Request.Account);
+  if (Found == Configured.end() || ConfigVersion <= Request.ConfigVersion)
+    return Request;
+  Request.Quota = Found->second.Quota;
+  Request.ConfigVersion = ConfigVersion;
+  return Request;
 }
 
-quota_broker::asked_grant quota_broker::decideHere(quota_ask Ask,
-                                                   bool OnItsOwn) {
+quota_broker::asked_grant quota_broker::decideHere(token_request Request,
+                                                   bool Isolated) {
   startUpkeepLoop();
-  noteRunning();
-  const std::string Duty = dutyOf(Ask.Account);
-  const quota_role Role = OnItsOwn ? quota_role::OnItsOwn : roleFor(Duty);
-  noteOwned(Duty, Role == quota_role::Owner);
+  recordRunning();
+  const std::string Duty = quotaDutyOf(Request.Account);
+  const quota_role Role = Isolated ? quota_role::Isolated : roleFor(Duty);
+  recordOwned(Duty, Role == quota_role::Owner);
   Owner.HostCount = Peers.members().size();
-  const quota_ask Newest = withNewestQuota(std::move(Ask));
+  const token_request Newest = withNewestQuota(std::move(Request));
   return {decide(Owner, Duty, Newest, Role, Clock.now()), Role, Self};
 }
 
 void quota_broker::receiveRequest(const link_pointer &Link,
                                   const wire::quota_request_value &Value) {
-  const result<quota_ask> Ask = fromWire(Value);
-  if (!Ask) {
-    logMalformed(Ask.error().Detail);
+  const result<token_request> Request = fromWire(Value);
+  if (!Request) {
+    logMalformed(Request.error().Detail);
     return;
   }
-  const asked_grant Asked = decideHere(*Ask, false);
+  const asked_grant Asked = decideHere(*Request, false);
   wire::quota_answer_value Answer;
   Answer.id = Value.id;
   Answer.granted = Asked.Grant.Granted;
@@ -462,7 +498,7 @@
   if (Found == PendingAnswers.end() || Found->second->Link != Link)
     return;
   const duration RetryAfter =
-      std::min<duration>(milliseconds(Value.retry_after_ms), MaxRetryAfter);
+      std::min<duration>(milliseconds(Value.retry_after_ms), LongestRetryAfter);
   Found->second->Grant = quota_grant{Value.granted, RetryAfter};
   Found->second->Role = toRole(Value.role);
   Found->second->Wakeup.cancel();
@@ -480,15 +516,19 @@
   return false;
 }
 
-void quota_broker::noteRunning() {
+// Does nothing unless the upkeep loop runs, as the time since the last call
+// says nothing then.
+void quota_broker::recordRunning() {
+  if (!UpkeepRunning)
+    return;
   const duration Pause =
-      coriandertray::noteRunning(Owner, Clock.now(), uptime(), AnswerTimeout);
+      coriandertray::recordRunning(Owner, Clock.now(), uptime(), AnswerTimeout);
   if (Pause > duration::zero())
     logEvent(log_level::Warning, "event-loop-paused",
              {{"pause_ms", toMilliseconds(Pause)}});
 }
 
-void quota_broker::noteOwned(const std::string &Duty, bool Owned) {
+void quota_broker::recordOwned(const std::string &Duty, bool Owned) {
   if (!Duties.contains(Duty) && Owned)
     return;
   if (setOwned(Owner, Duty, Owned, Clock.now()))
@@ -498,30 +538,28 @@
 
 void quota_broker::updateRoles() {
   for (const std::string &Duty : Duties)
-    noteOwned(Duty, roleFor(Duty) == quota_role::Owner);
+    recordOwned(Duty, roleFor(Duty) == quota_role::Owner);
 }
 
 void quota_broker::startUpkeepLoop() {
   if (std::exchange(UpkeepRunning, true))
     return;
-  stopNotingRuns(Owner);
+  stopRecordingRuns(Owner);
   asio::co_spawn(Context, upkeepLoop(), asio::detached);
 }
 
 // Runs while there are accounts or grants.
 asio::awaitable<void> quota_broker::upkeepLoop() {
   asio::steady_timer Timer(Context);
-  const auto DutyOf = [this](const std::string &Account) {
-    return dutyOf(Account);
-  };
   for (int Round = 0;; ++Round) {
-    noteRunning();
+    recordRunning();
     if (Round % UpkeepsPerRoleUpdate == 0)
       updateRoles();
     if (Round % UpkeepsPerCleanup == 0)
-      dropIdle(Owner, DutyOf, Clock.now());
+      dropIdle(Owner, quotaDutyOf, Clock.now());
     const bool Empty = Configured.empty() && Owner.Buckets.empty() &&
-                       Owner.StandInGrants.empty() && Owner.OwnGrants.empty();
+                       Owner.StandInGrants.empty() &&
+                       Owner.IsolatedGrants.empty();
     if (Empty)
       break;
     Timer.expires_after(UpkeepInterval);
--- a/src/libs/entry_host/quota_broker.h
+++ b/src/libs/entry_host/quota_broker.h
@@ -3,8 +3,10 @@
 /// host, and grants those of the accounts that are this host's duty.
 ///
 /// The owner of an account is the first usable host ranked for the account's
-/// duty. A host that reaches none of the first-ranked hosts grants from a share
-/// of its own.
+/// duty. If it doesn't answer, the next one is asked, which grants a limited
+/// share as a stand-in. A host that reaches none of them, or fewer than half of
+/// its peers, is isolated and grants a smaller share to its own callers. Only
+/// owners find a quota to be used up; other refusals are Undecidable.
 #pragma once
 
 #include "entry_host/peer_network.h"
@@ -52,6 +54,9 @@
   bool operator==(const quota_decision &) const = default;
 };
 
+/// \returns the duty of the host that owns \p Account.
+[[nodiscard]] std::string quotaDutyOf(std::string_view Account);
+
 /// All members run on the thread of the io_context, which must outlive the
 /// object, as must the other references.
 class quota_broker {
@@ -69,7 +74,9 @@
                    std::uint64_t ConfigVersion);
 
   /// Waits until \p Deadline for a token for one request of \p Account, whose
-  /// quota is from the configuration with version \p ConfigVersion. A token
+  /// quota is from the configuration with version \p ConfigVersion. Without an
+  /// owner, it is asked for again for a short time before the request is found
+  /// Undecidable. A token
   /// that arrives later is used for another request that waits, or for none.
   asio::awaitable<quota_decision> acquire(request_account Account,
                                           std::uint64_t ConfigVersion,
@@ -84,9 +91,12 @@
 
 private:
   struct waiting_request {
-    explicit waiting_request(asio::io_context &Context) : Wakeup(Context) {}
+    waiting_request(asio::io_context &Context, time_point Since)
+        : Wakeup(Context), Since(Since) {}
     asio::steady_timer Wakeup;
+    time_point Since;
     std::optional<quota_decision> Decision;
+    /// Whether the caller's deadline has passed, so that a token has no use.
     bool Abandoned = false;
   };
   struct pending_answer {
@@ -101,8 +111,15 @@
     account_quota Quota;
     std::uint64_t ConfigVersion = 0;
     std::deque<std::shared_ptr<waiting_request>> Waiting;
-    /// Whether a message to another host is under way.
+    /// Whether askLoop() runs for the account.
     bool Asking = false;
+    /// Since when no owner has decided, if the last decision was not an
+    /// owner's.
+    std::optional<time_point> WithoutOwnerSince;
+    /// The last decision that was not an owner's.
+    time_point LastWithoutOwner;
+    /// The last refusal by an owner. Until RefusedUntil, requests are refused
+    /// without asking, unless their configuration is newer than RefusedVersion.
     std::string RefusedBy;
     time_point RefusedUntil;
     std::uint64_t RefusedVersion = 0;
@@ -111,17 +128,18 @@
     /// When the owners last granted tokens, by host.
     std::map<std::string, time_point> OwnerGrants;
   };
+  /// A grant with the host that decided on it.
   struct asked_grant {
     quota_grant Grant;
     quota_role Role = quota_role::Owner;
     std::string Host;
   };
+  /// An account of the configuration in force.
   struct configured_account {
     account_quota Quota;
     std::string MetricLabel;
   };
 
-  [[nodiscard]] std::string dutyOf(std::string_view Account) const;
   [[nodiscard]] bool isCutOff();
   [[nodiscard]] quota_role roleFor(const std::string &Duty);
   [[nodiscard]] std::vector<std::string>
@@ -132,13 +150,16 @@
   asio::awaitable<void> askLoop(std::string Account);
   asio::awaitable<asked_grant> ask(std::string Account, std::uint32_t Count);
   asio::awaitable<std::optional<asked_grant>> askHost(std::string Host,
-                                                      quota_ask Ask);
-  [[nodiscard]] quota_ask makeAsk(const std::string &Account,
-                                  std::uint32_t Count) const;
+                                                      token_request Request);
+  [[nodiscard]] token_request makeTokenRequest(const std::string &Account,
+                                               std::uint32_t Count) const;
   [[nodiscard]] std::optional<duration>
   grantedElsewhere(const account_state &State, const std::string &Host) const;
-  [[nodiscard]] asked_grant decideHere(quota_ask Ask, bool OnItsOwn);
-  [[nodiscard]] quota_ask withNewestQuota(quota_ask Ask) const;
+  [[nodiscard]] asked_grant decideHere(token_request Request, bool Isolated);
+  [[nodiscard]] token_request withNewestQuota(token_request Request) const;
+  void recordDecider(account_state &State, quota_role Role);
+  [[nodiscard]] bool mayWaitForOwner(const account_state &State,
+                                     const waiting_request &Waiting) const;
   void distribute(account_state &State, const asked_grant &Asked,
                   std::uint32_t Count);
   void countDecision(const std::string &Account, quota_verdict Verdict);
@@ -146,8 +167,8 @@
                       const wire::quota_request_value &Value);
   void receiveAnswer(const link_pointer &Link,
                      const wire::quota_answer_value &Value);
-  void noteRunning();
-  void noteOwned(const std::string &Duty, bool Owned);
+  void recordRunning();
+  void recordOwned(const std::string &Duty, bool Owned);
   void updateRoles();
   void chooseMetricLabels(const std::vector<client_account> &Accounts);
   void startUpkeepLoop();
