Allocation: Change the number of pools of a service rarely

When 17 of 111 servers of a service left for 5 s, its pools went from 4 to 2 and back, as the number of pools followed from the present number of servers.

The number now stays while there are at most 64 servers a pool and half as many pools would have more than 36 each. Beyond that it becomes the number for a new service, which a change of a quarter of the servers leaves in force. It travels with the list of servers (view_push, pool_counts): a host that reads the platform updates the numbers, the others use those of the list that they accepted last. Numbers that follow from the list are left out, so the push of a host of the version before means the numbers that this host uses. A host that starts and is ranked first for the reader duty asks the others for their list before it reads the platform (at most 0.3 s): it would compute other numbers.

tst_allocation: 51 cases pass. With the rule of before (the number follows from the present number of servers) 4 of the new cases fail; if the numbers that are sent are not adopted, "a service without servers" and "hosts that adopt" fail.

--- a/src/libs/entry_host/slot_broker.cpp
+++ b/src/libs/entry_host/slot_broker.cpp
@@ -83,7 +83,7 @@
 const server_pool &slot_broker::choosePool(const std::string &Service) {
   service_pools &ServicePools = Services[Service];
   if (ServicePools.Pools.empty())
-    ServicePools.Pools = splitIntoPools(Service, {});
+    ServicePools.Pools = splitIntoPools(Service, {}, 1);
   return nextPool(ServicePools);
 }
 
@@ -127,20 +127,16 @@
   return State;
 }
 
-void slot_broker::setBackends(
-    const std::vector<backend_registration> &Backends) {
-  std::map<std::string, std::vector<backend_registration>> ByService;
-  for (const auto &[Service, ServicePools] : Services)
-    ByService[Service];
-  for (const backend_registration &Backend : Backends)
-    ByService[Backend.Service].push_back(Backend);
+void slot_broker::setBackends(const std::vector<backend_registration> &Backends,
+                              const pool_counts &PoolCounts) {
+  for (auto &[Service, ServicePools] : Services)
+    ServicePools.Pools = splitIntoPools(Service, {}, 1);
+  for (auto &[Service, Pools] : splitServices(Backends, PoolCounts))
+    Services[Service].Pools = std::move(Pools);
   std::set<std::string> Duties;
-  for (const auto &[Service, Servers] : ByService) {
-    service_pools &ServicePools = Services[Service];
-    ServicePools.Pools = splitIntoPools(Service, Servers);
+  for (const auto &[Service, ServicePools] : Services)
     for (const server_pool &Pool : ServicePools.Pools)
       Duties.insert(allocatorDuty(Pool.Name));
-  }
   Peers.setDuties("slots", std::move(Duties));
   updateAllocations();
 }
--- a/src/libs/entry_host/slot_broker.h
+++ b/src/libs/entry_host/slot_broker.h
@@ -66,8 +66,11 @@
   /// Replaces the limits of the retry budget.
   void setRetryLimits(const retry_limits &Limits) { Retries = Limits; }
 
-  /// Replaces the backend servers of all services.
-  void setBackends(const std::vector<backend_registration> &Backends);
+  /// Replaces the backend servers of all services, which are split into the
+  /// given numbers of pools. Requests that wait in a pool that no longer exists
+  /// are asked for again in the new pools.
+  void setBackends(const std::vector<backend_registration> &Backends,
+                   const pool_counts &PoolCounts);
 
   /// Handles a message about slots. \returns false if \p Message is not one.
   bool receive(const link_pointer &Link, const envelope &Message);
