Entry host: Choose a pool again if its allocator does not know it

When the number of pools changed, requests that waited were refused as pool-unknown: the requesting host asked the next host and then itself, whose answer was the same as soon as its own list changed. Callers saw 503 "deadline" although their route allowed seconds.

The requesting host now chooses a pool again, at most 6 times, 80 ms apart while it still knows the pool itself, and not within 80 ms of the deadline. The last choice is allocated by this host if need be, as before. Pools without servers are not chosen again: no other host may know them.

tst_pool_counts (hosts on loopback addresses, servers of one slot): 6 cases pass.

--- a/src/libs/entry_host/slot_broker.h
+++ b/src/libs/entry_host/slot_broker.h
@@ -101,6 +101,8 @@
     time_point Start;
     time_point Deadline;
   };
+  /// What to do if the allocator doesn't know the pool.
+  enum class unknown_pool_action : std::uint8_t { Refuse, AskNextHost };
   using pending_pointer = std::shared_ptr<pending_slot>;
 
   slot_allocator &allocationFor(const std::string &Pool);
@@ -115,12 +117,20 @@
   [[nodiscard]] std::vector<known_backend_report>
   knownReportsFor(const std::string &Pool) const;
   [[nodiscard]] bool mayUse(const slot_answer &Grant) const;
+  asio::awaitable<std::optional<acquired_slot>>
+  acquireFromNewPool(const std::string &Service, const slot_request &Request,
+                     std::set<std::string> &TriedPools,
+                     const std::shared_ptr<slot_wait> &Wait);
   asio::awaitable<acquired_slot>
   acquireUsable(const std::string &Pool, slot_request Request,
+                unknown_pool_action Action,
                 const std::shared_ptr<slot_wait> &Wait);
   asio::awaitable<acquired_slot> acquireFrom(std::string Pool,
                                              slot_request Request,
+                                             unknown_pool_action Action,
                                              std::shared_ptr<slot_wait> Wait);
+  asio::awaitable<void> awaitNewPools(std::shared_ptr<slot_wait> Wait);
+  [[nodiscard]] bool hasServers(const std::string &Pool) const;
   [[nodiscard]] std::vector<std::string>
   allocatorCandidates(const std::string &Pool) const;
   asio::awaitable<void> awaitAnswer(const slot_request &Request,
