Peer network: Spread the duties of each kind evenly by themselves

Cause: all duties were spread together, at most five to a host then, so one host could get four or five of the ten allocators, which are much heavier than the duties of quotas.

Change: each group of duties is spread evenly by itself. The reader's duty is spread with those of the allocators, so fleets without accounts have the same assignment as before.

tst_duty_assignment, "each group of duties is spread evenly by itself": four allocators at one host when spread together, two at most now.

--- a/src/libs/entry_host/peer_network.cpp
+++ b/src/libs/entry_host/peer_network.cpp
@@ -101,10 +101,9 @@
 }
 
 void peer_network::reassignDuties() {
-  std::set<std::string> Duties = {std::string(ReaderDuty)};
-  for (const auto &[Group, Names] : DutyGroups)
-    Duties.insert(Names.begin(), Names.end());
-  Assignment = assignDuties(Duties, EligibleHosts, RankCount);
+  duty_groups Groups = DutyGroups;
+  Groups[std::string(AllocatorDuties)].emplace(ReaderDuty);
+  Assignment = assignDutyGroups(Groups, EligibleHosts, RankCount);
   maintainLinks();
 }
 
--- a/src/libs/entry_host/peer_network.h
+++ b/src/libs/entry_host/peer_network.h
@@ -30,6 +30,10 @@
 /// The duty of reading the platform for all hosts.
 inline constexpr std::string_view ReaderDuty = "reader";
 
+/// The group of the allocators' duties. The reader's is spread with them, as
+/// both are heavy.
+inline constexpr std::string_view AllocatorDuties = "slots";
+
 /// Keeps links to the hosts that are ranked first for the duties. All members
 /// run on the thread of the io_context.
 class peer_network {
@@ -126,7 +130,7 @@
   std::vector<fleet_member> Members;
   std::vector<std::string> EligibleHosts;
   std::vector<std::string> Relays;
-  std::map<std::string, std::set<std::string>> DutyGroups;
+  duty_groups DutyGroups;
   duty_assignment Assignment;
   std::map<std::string, peer> Peers;
   std::vector<std::weak_ptr<frame_link>> IncomingLinks;
--- a/src/libs/entry_host/slot_broker.cpp
+++ b/src/libs/entry_host/slot_broker.cpp
@@ -143,7 +143,7 @@
   for (const auto &[Service, ServicePools] : Services)
     for (const server_pool &Pool : ServicePools.Pools)
       Duties.insert(allocatorDuty(Pool.Name));
-  Peers.setDuties("slots", std::move(Duties));
+  Peers.setDuties(std::string(AllocatorDuties), std::move(Duties));
   updateAllocations();
 }
 
--- a/src/libs/membership/duty_assignment.cpp
+++ b/src/libs/membership/duty_assignment.cpp
@@ -39,6 +39,16 @@
   return Assignment;
 }
 
+duty_assignment assignDutyGroups(const duty_groups &Groups,
+                                 const std::vector<std::string> &Hosts,
+                                 std::size_t CandidateCount) {
+  duty_assignment Assignment;
+  for (const auto &[Group, Duties] : Groups)
+    Assignment.Candidates.merge(
+        assignDuties(Duties, Hosts, CandidateCount).Candidates);
+  return Assignment;
+}
+
 const std::vector<std::string> &candidatesFor(const duty_assignment &Assignment,
                                               std::string_view Duty) {
   static const std::vector<std::string> NoCandidates;
--- a/src/libs/membership/duty_assignment.h
+++ b/src/libs/membership/duty_assignment.h
@@ -30,6 +30,17 @@
 assignDuties(const std::set<std::string> &Duties,
              const std::vector<std::string> &Hosts, std::size_t CandidateCount);
 
+/// Duties of one kind, by the name of the kind.
+using duty_groups = std::map<std::string, std::set<std::string>>;
+
+/// Like assignDuties(), with the duties of each group spread evenly by
+/// themselves: a host with several light duties must not get several heavy ones
+/// as well. \pre a duty is in one group only.
+[[nodiscard]] duty_assignment
+assignDutyGroups(const duty_groups &Groups,
+                 const std::vector<std::string> &Hosts,
+                 std::size_t CandidateCount);
+
 /// \returns the candidates for \p Duty, or an empty list if it isn't assigned.
 [[nodiscard]] const std::vector<std::string> &
 candidatesFor(const duty_assignment &Assignment, std::string_view Duty);
--- a/tests/auto/membership/tst_duty_assignment.cpp
+++ b/tests/auto/membership/tst_duty_assignment.cpp
@@ -76,3 +76,25 @@
   CHECK(
       candidatesFor(assignDuties(makeDuties(2), makeHosts(3), 4), "x").empty());
 }
+
+// Guards against one host that allocates for most pools, because other hosts
+// have many duties of another kind.
+TEST_CASE("each group of duties is spread evenly by itself") {
+  constexpr std::size_t HostCount = 6;
+  constexpr std::size_t PoolCount = 11;
+  std::vector<std::string> Hosts;
+  for (std::size_t Number = 0; Number < HostCount; ++Number)
+    Hosts.push_back("host-" + std::to_string(Number));
+  duty_groups Groups;
+  for (std::size_t Number = 0; Number < PoolCount; ++Number)
+    Groups["slots"].insert("slots/" + std::to_string(Number));
+  for (int Number = 0; Number < 16; ++Number)
+    Groups["quota"].insert("quota/" + std::to_string(Number));
+  const duty_assignment Assignment = assignDutyGroups(Groups, Hosts, 3);
+  std::map<std::string, std::size_t> Pools;
+  for (const std::string &Duty : Groups["slots"])
+    ++Pools[candidatesFor(Assignment, Duty).front()];
+  for (const auto &[Host, Count] : Pools)
+    CHECK(Count <= (PoolCount + HostCount - 1) / HostCount);
+  CHECK(Assignment.Candidates.size() == PoolCount + 16);
+}
