Revert "Merge the stable number of pools"

It keeps the number of pools of a service stable, so that a crash of a few servers renames no pools.

Suspected, not traced: a host whose allocator doesn't know the pool now waits 80 ms up to six times and chooses again, where it went on to the next host in the ranking at once. An allocator that has just started knows no pool.

--- a/src/libs/entry_host/entry_host.cpp
+++ b/src/libs/entry_host/entry_host.cpp
@@ -81,9 +81,8 @@
            {this->Settings.Host, this->Settings.Zone,
             this->Settings.AdvertisedPeers, this->Settings.CapacityMillicores},
            {[this](const routing_config &Config) { applyConfig(Config); },
-            [this](const std::vector<backend_registration> &Backends,
-                   const pool_counts &PoolCounts) {
-              Slots.setBackends(Backends, PoolCounts);
+            [this](const std::vector<backend_registration> &Backends) {
+              Slots.setBackends(Backends);
             }}),
       ProxyEnvironment{Context,          Clock, Client, Slots, Metrics,
                        std::move(Names), {}},
--- a/src/libs/entry_host/fleet_view.cpp
+++ b/src/libs/entry_host/fleet_view.cpp
@@ -49,11 +49,6 @@
 // within this time.
 constexpr duration ConfigConfirmationMaxAge = milliseconds(2500);
 constexpr duration ReregisterInterval = seconds(1);
-// A host that starts waits this long for a list of the other hosts before it
-// reads the platform as the reader: it would compute numbers of pools that
-// differ from those in force. The links to the others open in a few
-// milliseconds.
-constexpr duration FirstListTimeout = milliseconds(300);
 // Age of a member list that was never read.
 constexpr duration NeverReadAge = seconds(3600);
 
@@ -152,15 +147,7 @@
 // A host that doesn't know the other hosts yet would always consider itself the
 // reader.
 bool fleet_view::isReader() const {
-  return FirstJoinFinished && MembersReadAt && readerHost() == Self.Host &&
-         !awaitsFirstList();
-}
-
-// Returns whether another host may still send the first list of backend servers
-// and the numbers of pools in force.
-bool fleet_view::awaitsFirstList() const {
-  return !Directory.ReadAt && Peers.members().size() > 1 &&
-         Clock.now() - StartedAt < FirstListTimeout;
+  return FirstJoinFinished && MembersReadAt && readerHost() == Self.Host;
 }
 
 bool fleet_view::readsForOthers() const {
@@ -180,29 +167,13 @@
 
 void fleet_view::publishBackends() {
   addVersion(BackendLists, Directory.Backends);
-  SentPoolCounts = exceptionalPoolCounts(PoolCounts, Directory.Backends);
-  Handlers.OnBackends(Directory.Backends, PoolCounts);
+  Handlers.OnBackends(Directory.Backends);
   logEvent(log_level::Info, "backends-changed",
            {{"count", Directory.Backends.size()},
             {"draining", std::ranges::count(Directory.Backends, true,
                                             &backend_registration::Draining)}});
 }
 
-// \returns whether the numbers changed.
-bool fleet_view::setPoolCounts(pool_counts Next) {
-  if (Next == PoolCounts)
-    return false;
-  for (const auto &[Service, Count] : Next)
-    if (const auto Known = PoolCounts.find(Service);
-        Known != PoolCounts.end() && Known->second != Count)
-      logEvent(log_level::Info, "pool-count-changed",
-               {{"service", Service},
-                {"count", Count},
-                {"previous", Known->second}});
-  PoolCounts = std::move(Next);
-  return true;
-}
-
 // Hosts other than the reader read less often the more hosts there are, so that
 // many stale views at once don't overload the platform.
 duration fleet_view::readInterval() const {
@@ -228,10 +199,8 @@
   // The other hosts may have read the platform all the time.
   if (std::exchange(WasCutOff, false))
     disregardPause(Directory, Listed->CurrentAt);
-  const bool ListChanged = mergePlatformList(Directory, Listed->Servers,
-                                             Listed->Epoch, Listed->CurrentAt);
-  if (setPoolCounts(updatePoolCounts(PoolCounts, Directory.Backends)) ||
-      ListChanged)
+  if (mergePlatformList(Directory, Listed->Servers, Listed->Epoch,
+                        Listed->CurrentAt))
     publishBackends();
   pushAll();
   co_return true;
--- a/src/libs/entry_host/fleet_view.h
+++ b/src/libs/entry_host/fleet_view.h
@@ -12,7 +12,6 @@
 #include "entry_host/peer_network.h"
 #include "entry_host/platform_port.h"
 
-#include "allocation/server_pools.h"
 #include "discovery/backend_directory.h"
 #include "discovery/backend_list_history.h"
 #include "discovery/member_directory.h"
@@ -34,10 +33,7 @@
 
 struct fleet_view_handlers {
   std::function<void(const routing_config &)> OnConfig;
-  /// The backend servers, or the numbers of their pools, changed.
-  std::function<void(const std::vector<backend_registration> &,
-                     const pool_counts &)>
-      OnBackends;
+  std::function<void(const std::vector<backend_registration> &)> OnBackends;
 };
 
 /// All members run on the thread of the io_context.
@@ -86,12 +82,10 @@
   asio::awaitable<void> removeUnresponsiveMembers();
   void subscribe();
   [[nodiscard]] std::string relayOrReader() const;
-  [[nodiscard]] std::string subscriptionSource() const;
   void receiveSubscription(const link_pointer &Link,
                            const wire::view_subscribe_value &Value);
   [[nodiscard]] wire::view_subscribe_value makeSubscription() const;
   [[nodiscard]] bool isReader() const;
-  [[nodiscard]] bool awaitsFirstList() const;
   [[nodiscard]] bool isStale() const;
   /// \returns the version of the configuration in force, or zero.
   [[nodiscard]] std::uint64_t configVersion() const {
@@ -111,11 +105,9 @@
   void applyMembers(std::vector<fleet_member> Listed);
   void updatePeers();
   void publishBackends();
-  bool setPoolCounts(pool_counts Next);
   void recordPlatformResult(const std::optional<error> &Failure);
   void receivePush(const link_pointer &Link, const wire::view_push_value &Push);
   void receiveBackends(const wire::view_push_value &Push);
-  void adoptBackends(const wire::view_push_value &Push, bool ListChanged);
   void receiveMembers(const wire::view_push_value &Push);
   void receiveConfigAge(const link_pointer &Link,
                         const wire::view_push_value &Push);
@@ -136,9 +128,6 @@
   fleet_view_handlers Handlers;
   backend_directory Directory;
   backend_list_history BackendLists;
-  pool_counts PoolCounts;
-  /// What the other hosts are told of PoolCounts with the newest list.
-  pool_counts SentPoolCounts;
   member_directory Members;
   std::uint64_t MembersVersion = 0;
   std::optional<routing_config> Config;
--- a/src/libs/entry_host/fleet_view_exchange.cpp
+++ b/src/libs/entry_host/fleet_view_exchange.cpp
@@ -39,7 +39,7 @@
 void fleet_view::subscribe() {
   SubscribedAt = Clock.now();
   const std::string Reader = readerHost();
-  const std::string Source = subscriptionSource();
+  const std::string Source = relayOrReader();
   Peers.send(Source, makeBody(makeSubscription()));
   if (!isStale())
     return;
@@ -64,19 +64,6 @@
   return Relay == Peers.relays().end() ? readerHost() : *Relay;
 }
 
-// A host that starts and is ranked first for the reader duty asks the next
-// hosts for their list before it reads the platform, because the numbers of
-// pools that came with that list are in force.
-std::string fleet_view::subscriptionSource() const {
-  const std::string Source = relayOrReader();
-  if (Source != Self.Host || Directory.ReadAt)
-    return Source;
-  for (const std::string &Host : Peers.hostsRankedFor(ReaderDuty))
-    if (Host != Self.Host && Peers.isUsable(Host))
-      return Host;
-  return Source;
-}
-
 wire::view_subscribe_value fleet_view::makeSubscription() const {
   wire::view_subscribe_value Value;
   Value.host = Self.Host;
@@ -111,7 +98,6 @@
     Push.removed = Change.Removed;
     To.BackendsVersion = Push.backends_version;
   }
-  Push.pool_counts = toWire(SentPoolCounts);
   Push.members_version = MembersVersion;
   Push.has_members = Push.members_version != To.MembersVersion;
   if (Push.has_members) {
@@ -137,8 +123,7 @@
 void fleet_view::receivePush(const link_pointer &Link,
                              const wire::view_push_value &Push) {
   const auto Versions = [this] {
-    return std::make_tuple(newestVersion(BackendLists), MembersVersion,
-                           PoolCounts);
+    return std::make_pair(newestVersion(BackendLists), MembersVersion);
   };
   const auto VersionsBefore = Versions();
   const duration AgeBefore = age();
@@ -164,25 +149,15 @@
       subscribe();
       return;
     }
-    adoptBackends(Push, replaceWithPeerList(Directory, std::move(*Next),
-                                            Push.store_epoch, ReadAt));
+    if (replaceWithPeerList(Directory, std::move(*Next), Push.store_epoch,
+                            ReadAt))
+      publishBackends();
   } else if (Push.backends_version != 0 &&
              Push.backends_version == newestVersion(BackendLists)) {
     confirmByPeer(Directory, Push.store_epoch, ReadAt);
-    adoptBackends(Push, false);
   }
 }
 
-// A host uses the numbers of pools of the host whose list it accepted last, so
-// that hosts with the same list have the same pools.
-void fleet_view::adoptBackends(const wire::view_push_value &Push,
-                               bool ListChanged) {
-  pool_counts Adopted =
-      adoptPoolCounts(fromWire(Push.pool_counts), Directory.Backends);
-  if (setPoolCounts(std::move(Adopted)) || ListChanged)
-    publishBackends();
-}
-
 void fleet_view::receiveMembers(const wire::view_push_value &Push) {
   const time_point ReadAt = Clock.now() - milliseconds(Push.members_age_ms);
   if (!Push.has_members || ReadAt <= MembersReadAt.value_or(time_point()))
--- a/src/libs/entry_host/slot_broker.cpp
+++ b/src/libs/entry_host/slot_broker.cpp
@@ -27,12 +27,6 @@
 constexpr std::size_t MaxAllocatorsTried = 2;
 // Pools tried for one request: if one is overloaded, another may have room.
 constexpr int MaxPoolsTried = 2;
-// How often a request chooses a pool, and the time between two choices, if the
-// allocator doesn't know the pool. Hosts learn of a new number of pools at
-// different times, up to 0.25 s apart with 800 servers
-// (BackendsPushIntervalPerServer).
-constexpr int MaxPoolChoices = 6;
-constexpr duration PoolChoicePause = milliseconds(80);
 // Grants at servers that want no requests from this host that one request may
 // hand back. An allocator learns of the servers with the first one.
 constexpr int MaxGrantsReturned = 3;
@@ -89,7 +83,7 @@
 const server_pool &slot_broker::choosePool(const std::string &Service) {
   service_pools &ServicePools = Services[Service];
   if (ServicePools.Pools.empty())
-    ServicePools.Pools = splitIntoPools(Service, {}, 1);
+    ServicePools.Pools = splitIntoPools(Service, {});
   return nextPool(ServicePools);
 }
 
@@ -133,16 +127,20 @@
   return State;
 }
 
-void slot_broker::setBackends(const std::vector<backend_registration> &Backends,
-                              const pool_counts &PoolCounts) {
-  for (auto &[Service, ServicePools] : Services)
-    ServicePools.Pools = splitIntoPools(Service, {}, 1);
-  for (auto &[Service, Pools] : splitServices(Backends, PoolCounts))
-    Services[Service].Pools = std::move(Pools);
-  std::set<std::string> Duties;
+void slot_broker::setBackends(
+    const std::vector<backend_registration> &Backends) {
+  std::map<std::string, std::vector<backend_registration>> ByService;
   for (const auto &[Service, ServicePools] : Services)
+    ByService[Service];
+  for (const backend_registration &Backend : Backends)
+    ByService[Backend.Service].push_back(Backend);
+  std::set<std::string> Duties;
+  for (const auto &[Service, Servers] : ByService) {
+    service_pools &ServicePools = Services[Service];
+    ServicePools.Pools = splitIntoPools(Service, Servers);
     for (const server_pool &Pool : ServicePools.Pools)
       Duties.insert(allocatorDuty(Pool.Name));
+  }
   Peers.setDuties(std::string(AllocatorDuties), std::move(Duties));
   updateAllocations();
 }
@@ -260,7 +258,6 @@
 
 asio::awaitable<acquired_slot>
 slot_broker::acquireFrom(std::string Pool, slot_request Request,
-                         unknown_pool_action Action,
                          std::shared_ptr<slot_wait> Wait) {
   const std::uint64_t Id = NextId++;
   Request.Key = {Self, Id};
@@ -277,8 +274,7 @@
     else
       Peers.send(Host, makeBody(toWire(Request, Pool, Clock.now())));
     co_await awaitAnswer(Request, Pending, Wait);
-    if (Action == unknown_pool_action::AskNextHost && Pending->Answer &&
-        isRefusal(*Pending->Answer, PoolUnknownReason))
+    if (Pending->Answer && isRefusal(*Pending->Answer, PoolUnknownReason))
       Pending->Answer.reset();
     const bool Over = Pending->Answer || Wait->GivenUp ||
                       Clock.now() >= Request.Deadline || Host == Self;
@@ -313,11 +309,10 @@
 // allocator decided, or while the allocator could not be told.
 asio::awaitable<acquired_slot>
 slot_broker::acquireUsable(const std::string &Pool, slot_request Request,
-                           unknown_pool_action Action,
                            const std::shared_ptr<slot_wait> &Wait) {
   acquired_slot Slot;
   for (int Returned = 0; Returned < MaxGrantsReturned; ++Returned) {
-    Slot = co_await acquireFrom(Pool, Request, Action, Wait);
+    Slot = co_await acquireFrom(Pool, Request, Wait);
     const slot_answer &Answer = Slot.Answer;
     if (Answer.Verdict != slot_verdict::Granted || mayUse(Answer))
       co_return Slot;
@@ -334,51 +329,6 @@
   co_return Slot;
 }
 
-bool slot_broker::hasServers(const std::string &Name) const {
-  const server_pool *Pool = findPool(Name);
-  return Pool && !Pool->Servers.empty();
-}
-
-// Waits until other hosts may have learned of the pools of this host, or this
-// host of theirs, or the wait is given up.
-asio::awaitable<void>
-slot_broker::awaitNewPools(std::shared_ptr<slot_wait> Wait) {
-  const auto Timer =
-      std::make_shared<asio::steady_timer>(Context, PoolChoicePause);
-  Wait->Wake = [Timer] { Timer->cancel(); };
-  co_await Timer->async_wait(UseTuple);
-  Wait->Wake = {};
-}
-
-// Acquires a slot from a pool that is not in \p TriedPools, and adds it there.
-// While the number of pools changes, the allocator may not know the chosen one;
-// a pool is then chosen again. The last choice is allocated here if need be.
-// \returns nothing if the chosen pool was tried before.
-asio::awaitable<std::optional<acquired_slot>> slot_broker::acquireFromNewPool(
-    const std::string &Service, const slot_request &Request,
-    std::set<std::string> &TriedPools, const std::shared_ptr<slot_wait> &Wait) {
-  for (int Choice = 1;; ++Choice) {
-    const std::string Pool = choosePool(Service).Name;
-    if (!TriedPools.insert(Pool).second)
-      co_return std::nullopt;
-    // No host but this one may know the pool of a service without servers.
-    const bool MayChooseAgain =
-        Choice < MaxPoolChoices && hasServers(Pool) &&
-        Clock.now() + PoolChoicePause < Request.Deadline;
-    acquired_slot Slot = co_await acquireUsable(
-        Pool, Request,
-        MayChooseAgain ? unknown_pool_action::Refuse
-                       : unknown_pool_action::AskNextHost,
-        Wait);
-    if (!MayChooseAgain || Wait->GivenUp ||
-        !isRefusal(Slot.Answer, PoolUnknownReason))
-      co_return Slot;
-    TriedPools.erase(Pool);
-    if (findPool(Pool))
-      co_await awaitNewPools(Wait);
-  }
-}
-
 asio::awaitable<acquired_slot>
 slot_broker::acquire(std::string Service, slot_request Request,
                      std::shared_ptr<slot_wait> Wait) {
@@ -387,11 +337,10 @@
   acquired_slot Slot;
   std::set<std::string> TriedPools;
   for (int Round = 0; Round < MaxPoolsTried; ++Round) {
-    std::optional<acquired_slot> Next =
-        co_await acquireFromNewPool(Service, Request, TriedPools, Wait);
-    if (!Next)
+    const std::string Pool = choosePool(Service).Name;
+    if (!TriedPools.insert(Pool).second)
       break;
-    Slot = std::move(*Next);
+    Slot = co_await acquireUsable(Pool, Request, Wait);
     const bool OtherPoolMayServe = isRefusal(Slot.Answer, "overloaded") ||
                                    isRefusal(Slot.Answer, NoServerReason);
     if (!OtherPoolMayServe || Wait->GivenUp)
--- a/src/libs/entry_host/slot_broker.h
+++ b/src/libs/entry_host/slot_broker.h
@@ -66,11 +66,8 @@
   /// Replaces the limits of the retry budget.
   void setRetryLimits(const retry_limits &Limits) { Retries = Limits; }
 
-  /// Replaces the backend servers of all services, which are split into the
-  /// given numbers of pools. Requests that wait in a pool that no longer exists
-  /// are asked for again in the new pools.
-  void setBackends(const std::vector<backend_registration> &Backends,
-                   const pool_counts &PoolCounts);
+  /// Replaces the backend servers of all services.
+  void setBackends(const std::vector<backend_registration> &Backends);
 
   /// Handles a message about slots. \returns false if \p Message is not one.
   bool receive(const link_pointer &Link, const envelope &Message);
@@ -101,8 +98,6 @@
     time_point Start;
     time_point Deadline;
   };
-  /// What to do if the allocator doesn't know the pool.
-  enum class unknown_pool_action : std::uint8_t { Refuse, AskNextHost };
   using pending_pointer = std::shared_ptr<pending_slot>;
 
   slot_allocator &allocationFor(const std::string &Pool);
@@ -117,20 +112,12 @@
   [[nodiscard]] std::vector<known_backend_report>
   knownReportsFor(const std::string &Pool) const;
   [[nodiscard]] bool mayUse(const slot_answer &Grant) const;
-  asio::awaitable<std::optional<acquired_slot>>
-  acquireFromNewPool(const std::string &Service, const slot_request &Request,
-                     std::set<std::string> &TriedPools,
-                     const std::shared_ptr<slot_wait> &Wait);
   asio::awaitable<acquired_slot>
   acquireUsable(const std::string &Pool, slot_request Request,
-                unknown_pool_action Action,
                 const std::shared_ptr<slot_wait> &Wait);
   asio::awaitable<acquired_slot> acquireFrom(std::string Pool,
                                              slot_request Request,
-                                             unknown_pool_action Action,
                                              std::shared_ptr<slot_wait> Wait);
-  asio::awaitable<void> awaitNewPools(std::shared_ptr<slot_wait> Wait);
-  [[nodiscard]] bool hasServers(const std::string &Pool) const;
   [[nodiscard]] std::vector<std::string>
   allocatorCandidates(const std::string &Pool) const;
   asio::awaitable<void> awaitAnswer(const slot_request &Request,
--- a/src/libs/entry_host/slot_wire.cpp
+++ b/src/libs/entry_host/slot_wire.cpp
@@ -254,24 +254,4 @@
   return Members;
 }
 
-std::vector<std::unique_ptr<wire::pool_count_value>>
-toWire(const pool_counts &Counts) {
-  std::vector<std::unique_ptr<wire::pool_count_value>> Values;
-  for (const auto &[Service, Count] : Counts) {
-    auto Value = std::make_unique<wire::pool_count_value>();
-    Value->service = Service;
-    Value->count = Count;
-    Values.push_back(std::move(Value));
-  }
-  return Values;
-}
-
-pool_counts
-fromWire(const std::vector<std::unique_ptr<wire::pool_count_value>> &Values) {
-  pool_counts Counts;
-  for (const auto &Value : Values)
-    Counts.insert_or_assign(Value->service, Value->count);
-  return Counts;
-}
-
 } // namespace coriandertray
--- a/src/libs/entry_host/slot_wire.h
+++ b/src/libs/entry_host/slot_wire.h
@@ -3,7 +3,6 @@
 /// wire. Times are sent as durations from now, because hosts share no clock.
 #pragma once
 
-#include "allocation/server_pools.h"
 #include "allocation/slot_messages.h"
 #include "discovery/backend_registration.h"
 #include "utils/error.h"
@@ -47,9 +46,4 @@
 [[nodiscard]] std::vector<fleet_member>
 fromWire(const std::vector<std::unique_ptr<wire::member_entry_value>> &Values);
 
-[[nodiscard]] std::vector<std::unique_ptr<wire::pool_count_value>>
-toWire(const pool_counts &Counts);
-[[nodiscard]] pool_counts
-fromWire(const std::vector<std::unique_ptr<wire::pool_count_value>> &Values);
-
 } // namespace coriandertray
--- a/tests/auto/entry_host/fleet_fixture.h
+++ b/tests/auto/entry_host/fleet_fixture.h
@@ -267,27 +267,6 @@
     Platform.Config.Routes.push_back(Route);
   }
 
-  /// Adds a host that run() starts, or the test itself if it is added later.
-  void addHost(int Number) {
-    host_settings Settings;
-    const std::string Ip = listenAddress(Number).Ip;
-    Settings.Host = "host-" + std::to_string(Number);
-    Settings.Zone = "a";
-    Settings.Listen = listenAddress(Number);
-    Settings.Readiness = {Ip, 18'201};
-    Settings.Peers = {Ip, 18'202};
-    Settings.AdvertisedPeers = Settings.Peers;
-    Settings.Metrics = {Ip, 18'203};
-    Settings.Retries = {0.2, seconds(10), 60};
-    Settings.GracePeriod = seconds(1);
-    Settings.Relays = Relays;
-    Settings.MemoryBytes = MemoryBytes;
-    PlatformConnections.push_back(
-        std::make_unique<platform_connection>(Platform));
-    Hosts.push_back(std::make_unique<entry_host>(
-        Context, Clock, Settings, TestNames, *PlatformConnections.back()));
-  }
-
   scripted_backend &addBackend(backend_script Script) {
     const auto Number = Backends.size();
     const socket_address Address = {"127.97.3." + std::to_string(1 + Number),
@@ -392,6 +371,26 @@
 private:
   relay_policy Relays;
   std::uint64_t MemoryBytes;
+
+  void addHost(int Number) {
+    host_settings Settings;
+    const std::string Ip = listenAddress(Number).Ip;
+    Settings.Host = "host-" + std::to_string(Number);
+    Settings.Zone = "a";
+    Settings.Listen = listenAddress(Number);
+    Settings.Readiness = {Ip, 18'201};
+    Settings.Peers = {Ip, 18'202};
+    Settings.AdvertisedPeers = Settings.Peers;
+    Settings.Metrics = {Ip, 18'203};
+    Settings.Retries = {0.2, seconds(10), 60};
+    Settings.GracePeriod = seconds(1);
+    Settings.Relays = Relays;
+    Settings.MemoryBytes = MemoryBytes;
+    PlatformConnections.push_back(
+        std::make_unique<platform_connection>(Platform));
+    Hosts.push_back(std::make_unique<entry_host>(
+        Context, Clock, Settings, TestNames, *PlatformConnections.back()));
+  }
 };
 
 } // namespace coriandertray::testing
--- a/tests/auto/entry_host/tst_slot_wire.cpp
+++ b/tests/auto/entry_host/tst_slot_wire.cpp
@@ -77,9 +77,3 @@
   });
   CHECK(Holds);
 }
-
-TEST_CASE("numbers of pools are the same after a message") {
-  const pool_counts Counts = {{"one", 4}, {"two", 1}};
-  CHECK(fromWire(toWire(Counts)) == Counts);
-  CHECK(fromWire(toWire(pool_counts())).empty());
-}
