--- a/scripts/lib/schemas.py
+++ b/scripts/lib/schemas.py
@@ -123,6 +123,20 @@
                     "description": "repeats a request, fleet-wide"},
     "retry_slack": {"type": "number", "minimum": 0, "default": 0,
                     "description": "repeats beyond that in one window"},
+    "bounds": {"type": "object",
+               "description": "the platform's bounds; quota_window, "
+                              "quota_overshoot and quota_slack are read, the "
+                              "fields of these names go first"},
+    "quota_window": {"type": "string", "pattern": "^[0-9.]+(ms|s)$",
+                     "default": "5s",
+                     "description": "window in which the quota of a client "
+                                    "account is kept"},
+    "quota_overshoot": {"type": "number", "minimum": 0, "default": 0,
+                        "description": "requests beyond a quota in one "
+                                       "window, as a share of it"},
+    "quota_slack": {"type": "number", "minimum": 0, "default": 0,
+                    "description": "further requests beyond a quota in one "
+                                   "window"},
 })
 
 
--- a/tests/auto/allocation/tst_placement.cpp
+++ b/tests/auto/allocation/tst_placement.cpp
@@ -114,7 +114,7 @@
 // requests in flight at six slots outweighed all successes.
 TEST_CASE("healthy servers that are nearly full are not suspected") {
   busy_pool Pool;
-  constexpr std::size_t Slots = SlotCount * ServerCount;
+  constexpr std::size_t Slots = std::size_t{SlotCount} * ServerCount;
   // The servers respond to some requests first, so that they are known.
   Pool.run(seconds(6), Slots / 2);
   Pool.run(seconds(6), Slots * 9 / 10);
@@ -129,7 +129,7 @@
 // Guards against a bound that makes the allocator blind for a failure.
 TEST_CASE("a server with six slots that hangs is suspected within a second") {
   busy_pool Pool;
-  constexpr std::size_t Slots = SlotCount * ServerCount;
+  constexpr std::size_t Slots = std::size_t{SlotCount} * ServerCount;
   Pool.run(seconds(6), Slots / 2);
   const std::vector<slot_lease> Leases =
       Pool.State.Backends.at("server-0").Leases;
@@ -157,7 +157,7 @@
 // far below what the servers of that zone can carry.
 TEST_CASE("all healthy servers get a request every two seconds") {
   busy_pool Pool(3);
-  Pool.run(seconds(6), SlotCount * ServerCount / 2);
+  Pool.run(seconds(6), std::size_t{SlotCount} * ServerCount / 2);
   Pool.BodyBytes = 60'000;
   const duration MaxUnused = seconds(2);
   duration LongestUnused{0};
@@ -173,7 +173,7 @@
 // slot for a host that was lost, until the deadline of that request.
 TEST_CASE("a healthy server with a slot that isn't released stays in use") {
   busy_pool Pool;
-  constexpr std::size_t Slots = SlotCount * ServerCount;
+  constexpr std::size_t Slots = std::size_t{SlotCount} * ServerCount;
   Pool.run(seconds(6), Slots / 2);
   const time_point Start = Pool.Now;
   backend_record &Server = Pool.State.Backends.at("server-0");
