--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -100,7 +100,7 @@
     def __init__(self, fleet, index):
         self.fleet = fleet
         self.name = f"frontend-{index + 1}"
-        self.zone = ZONES[index % len(ZONES)]
+        self.zone = fleet.zones[index % len(fleet.zones)]
         self.ip = fleet.ip(10 + index)
         self.process = None
         self.starts = 0
@@ -178,7 +178,7 @@
     """Hosts, the store, and the addresses of a case."""
 
     def __init__(self, hosts, memory_mb=260, file_descriptors=4100,
-                 bounds=None):
+                 bounds=None, zones=ZONES):
         deploy = ROOT / "deploy" / "system.toml"
         with open(deploy, "rb") as file:
             self.role = tomllib.load(file)["roles"]["host"]
@@ -188,6 +188,7 @@
         self.network = f"127.{random.randrange(20, 250)}"
         self.memory_mb = memory_mb
         self.file_descriptors = file_descriptors
+        self.zones = zones
         self.bounds = {**BOUNDS, **(bounds or {})}
         self.hosts = [Host(self, index) for index in range(hosts)]
         ips = [host.ip for host in self.hosts]
