--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -117,7 +117,8 @@
                                     fleet.internal_port + 15],
             "limits": {"cpu_share": 0.2, "memory_mb": fleet.memory_mb},
             "bounds": fleet.bounds,
-            "platform": {"address": fleet.store_address}}
+            "platform": {"address": fleet.store_paths.get(
+                self.name, fleet.store_address)}}
         template = (ROOT / fleet.role["template"]).read_text(encoding="utf-8")
         self.settings.write_text(fill_template(template, fields),
                                  encoding="utf-8")
@@ -198,12 +199,16 @@
         self.store = Store(random.Random(1))
         self.store_address = f"{self.ip(1)}:{free_port([self.ip(1)])}"
         self.store_server = None
+        # The address at which a host reaches the store, if it has its own.
+        self.store_paths = {}
 
     def ip(self, index):
         return f"{self.network}.{index // 200}.{1 + index % 200}"
 
-    async def start(self):
-        self.store_server = await self.store.start(self.store_address, "all")
+    async def start(self, with_store=True):
+        if with_store:
+            self.store_server = await self.store.start(self.store_address,
+                                                       "all")
         for host in self.hosts:
             host.write_settings()
             host.start()
