--- a/review/10/case.py
+++ b/review/10/case.py
@@ -18,7 +18,7 @@
 SHED_SHARE = 0.55
 SHED_AT_S = 12.0
 SHED_FOR_S = 8.5
-# A release: so many servers, so many at a time, with this pause.
+# Releases of so many servers each, so many in all, and this long apart.
 RELEASED = 21
 RELEASE_STEP = 3
 RELEASE_GAP_S = 3.0
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -17,7 +17,9 @@
 from backend import start_backends  # noqa: E402
 
 RATE = 160.0
-HOSTS = 8
+# Eight in the zone of the clients, two in another one.
+HOSTS = 10
+ZONES = ("a", "a", "a", "a", "b")
 WORK_S = 0.35
 DEADLINE_MS = 4000
 GRACE_PERIOD_S = 6.0
@@ -47,7 +49,8 @@
     def __init__(self, record, fleet):
         self.record = record
         self.fleet = fleet
-        self.misses = {host: 0 for host in fleet.hosts}
+        self.zone_hosts = [host for host in fleet.hosts if host.zone == "a"]
+        self.misses = {host: 0 for host in self.zone_hosts}
         self.calls = []
         self.numbers = itertools.count(1)
         self.stopping = False
@@ -62,10 +65,10 @@
 
     def pick_host(self):
         """All hosts of the zone if fewer than half of them are in rotation."""
-        in_rotation = [host for host in self.fleet.hosts
+        in_rotation = [host for host in self.zone_hosts
                        if self.misses[host] < 2]
-        if 2 * len(in_rotation) < len(self.fleet.hosts):
-            in_rotation = self.fleet.hosts
+        if 2 * len(in_rotation) < len(self.zone_hosts):
+            in_rotation = self.zone_hosts
         return random.choice(in_rotation)
 
     async def call(self):
@@ -130,16 +133,16 @@
             7, ["crewdesk"], [rule("/book/", "unsafe", "crewdesk", "1500ms")]))
         await self.fleet.start()
         polls = [asyncio.ensure_future(self.ask_readiness(host))
-                 for host in self.fleet.hosts]
+                 for host in self.zone_hosts]
         load = asyncio.ensure_future(self.load())
         await asyncio.sleep(TERM_AT_S - FREEZE_BEFORE_S)
-        first = self.fleet.hosts[0]
+        first = self.zone_hosts[0]
         frozen = asyncio.ensure_future(
             self.freeze(first) if trouble() else asyncio.sleep(FREEZE_S))
         await asyncio.sleep(FREEZE_BEFORE_S)
         term = time.monotonic()
         restarts = []
-        for number, host in enumerate(self.fleet.hosts):
+        for number, host in enumerate(self.zone_hosts):
             await asyncio.sleep(max(0, term + number // ROLL_STEP * ROLL_GAP_S -
                                     time.monotonic()))
             restarts.append(asyncio.ensure_future(self.restart(host)))
@@ -178,7 +181,7 @@
 
 async def case():
     record = Record(HERE)
-    fleet = Fleet(hosts=HOSTS, zones=("a",))
+    fleet = Fleet(hosts=HOSTS, zones=ZONES)
     backends = []
     try:
         backends = await start_backends(
--- a/review/standins-2/backend.py
+++ b/review/standins-2/backend.py
@@ -7,6 +7,8 @@
 import messages
 from links import split_address
 
+PACED_BYTES = 250_000
+
 
 class Backend:
     """One server; `arrivals` holds (time, request id, ran) of each request."""
@@ -33,6 +35,9 @@
         self.arrivals = []
         self.server = None
         self.writers = set()
+        # If set, awaited with the request and a number of bytes before these
+        # are sent.
+        self.pace = None
 
     async def start(self):
         self.server = await asyncio.start_server(
@@ -111,9 +116,16 @@
         finally:
             self.running -= 1
             self.slot.release()
-        writer.write(messages.make_response(200, self.body(request_id), {
+        data = messages.make_response(200, self.body(request_id), {
             **self.headers(request), "Keep-Alive": "timeout=10",
-            "X-Response-Signature": f"{self.name}.{request_id}"}))
+            "X-Response-Signature": f"{self.name}.{request_id}"})
+        step = PACED_BYTES if self.pace else len(data)
+        for first in range(0, len(data), step):
+            part = data[first:first + step]
+            if self.pace:
+                await self.pace(request, len(part))
+            writer.write(part)
+            await writer.drain()
 
     def body(self, request_id):
         seed = hashlib.sha256(f"{self.name}/{request_id}".encode()).digest()
