Entry host: Count the grace period from when the signal may have been sent

Cause: the host counted its grace period from the moment at which it handled SIGTERM. A process that didn't run handles the signal late, and passes on requests that the SIGKILL cuts. That the leaving line came 2.0 s after the SIGTERM and no stopped line at all excludes a wrong check of what fits.

Change: a host records that its event loop runs (run_history) and ends its service by the earliest moment at which the signal may have been sent (leave_schedule); responses in flight may be written until the latest one. The uptime, which the clock source now provides, covers suspensions, also those after the signal. The leaving line states max_signal_delay_ms.

--- a/src/libs/entry_host/entry_host.cpp
+++ b/src/libs/entry_host/entry_host.cpp
@@ -27,11 +27,8 @@
 // failed probes.
 constexpr duration BalancerRemovalDelay = milliseconds(2800);
 constexpr duration LeavePollInterval = milliseconds(100);
-// A leaving host stops serving this long before the platform kills it.
-constexpr duration ServiceEndMargin = milliseconds(600);
-// Responses that are not written at the end of service may still be, until this
-// long before the platform kills the host.
-constexpr duration ExitMargin = milliseconds(250);
+// How often the host records that it runs.
+constexpr duration RunInterval = milliseconds(100);
 // A host has 160 MB of memory or more. While a body grows, its string may take
 // up to three times its size.
 constexpr std::uint64_t MaxResponseBodyBytes = 16U << 20U;
@@ -128,6 +125,7 @@
            {{"zone", Settings.Zone},
             {"listen", toString(Settings.Listen)},
             {"capacity_millicores", Settings.CapacityMillicores}});
+  asio::co_spawn(Context, recordRunsLoop(), asio::detached);
   View.start();
   return {};
 }
@@ -255,31 +253,49 @@
   co_return Response;
 }
 
+event_loop_run entry_host::currentRun() const {
+  return {Clock.now(), Clock.uptime()};
+}
+
+asio::awaitable<void> entry_host::recordRunsLoop() {
+  asio::steady_timer Timer(Context);
+  for (;;) {
+    recordRun(Runs, currentRun());
+    Timer.expires_after(RunInterval);
+    co_await Timer.async_wait(UseTuple);
+  }
+}
+
 void entry_host::leave() {
   if (std::exchange(Leaving, true))
     return;
+  const event_loop_run Now = currentRun();
+  const leave_schedule Schedule = {Now, maxSignalDelay(Runs, Now),
+                                   Settings.GracePeriod};
   logEvent(log_level::Info, "leaving",
-           {{"requests_in_flight", CallerServer.requestsInFlight()}});
-  asio::co_spawn(Context, leaveLoop(), asio::detached);
+           {{"requests_in_flight", CallerServer.requestsInFlight()},
+            {"max_signal_delay_ms", toMilliseconds(Schedule.MaxSignalDelay)}});
+  asio::co_spawn(Context, leaveLoop(Schedule), asio::detached);
 }
 
-asio::awaitable<void> entry_host::leaveLoop() {
-  const time_point Start = Clock.now();
-  const time_point ServiceEnd = Start + Settings.GracePeriod - ServiceEndMargin;
-  const time_point LastExit = Start + Settings.GracePeriod - ExitMargin;
-  endService(ProxyEnvironment, ServiceEnd);
+asio::awaitable<void> entry_host::leaveLoop(leave_schedule Schedule) {
+  endService(ProxyEnvironment, serviceEnd(Schedule, Schedule.Start));
   Peers.announceLeaving();
   CallerServer.closeAfterNextResponse();
   asio::steady_timer Timer(Context);
   for (;;) {
     Timer.expires_after(LeavePollInterval);
     co_await Timer.async_wait(UseTuple);
-    const time_point Now = Clock.now();
+    const event_loop_run Now = currentRun();
+    const time_point ServiceEnd = serviceEnd(Schedule, Now);
+    // The system may have been suspended meanwhile.
+    if (ServiceEnd != ProxyEnvironment.ServiceEnd)
+      endService(ProxyEnvironment, ServiceEnd);
     const bool ServiceEnded =
-        Now >= ServiceEnd && CallerServer.requestsInFlight() == 0;
-    if (ServiceEnded || Now >= LastExit)
+        Now.At >= ServiceEnd && CallerServer.requestsInFlight() == 0;
+    if (ServiceEnded || Now.At >= lastExit(Schedule, Now))
       break;
-    if (Now - Start < BalancerRemovalDelay)
+    if (timeBetween(Schedule.Start, Now) < BalancerRemovalDelay)
       continue;
     CallerServer.closeIdle();
     if (CallerServer.connectionCount() == 0)
--- a/src/libs/entry_host/entry_host.h
+++ b/src/libs/entry_host/entry_host.h
@@ -7,6 +7,7 @@
 #include "entry_host/fleet_view.h"
 #include "entry_host/header_names.h"
 #include "entry_host/host_settings.h"
+#include "entry_host/leave_schedule.h"
 #include "entry_host/peer_network.h"
 #include "entry_host/platform_port.h"
 #include "entry_host/quota_broker.h"
@@ -18,6 +19,7 @@
 #include "metrics/metrics.h"
 #include "routing/route_index.h"
 #include "utils/json.h"
+#include "utils/run_history.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -40,7 +42,8 @@
 
   /// Starts a graceful shutdown: reports not ready, serves the requests that
   /// can end in time, refuses the others, and stops the io_context within the
-  /// grace period. Idempotent.
+  /// grace period. The grace period counts from the earliest moment at which
+  /// the signal for it may have been sent. Idempotent.
   void leave();
 
   /// Applies the grace period, the retry limits and the quota tolerance of
@@ -58,7 +61,9 @@
   refuseBeyondQuota(const proxied_request &Request);
   asio::awaitable<http_response> serveReadiness();
   asio::awaitable<http_response> serveOperatorRequest(http_request Request);
-  asio::awaitable<void> leaveLoop();
+  [[nodiscard]] event_loop_run currentRun() const;
+  asio::awaitable<void> recordRunsLoop();
+  asio::awaitable<void> leaveLoop(leave_schedule Schedule);
   void applyConfig(const routing_config &Config);
 
   asio::io_context &Context;
@@ -78,6 +83,7 @@
   std::shared_ptr<route_index> Routes;
   const key_secret KeySecret = makeKeySecret();
   std::uint64_t ConfigVersion = 0;
+  run_history Runs;
   bool Leaving = false;
 };
 
--- a/src/libs/entry_host/quota_broker.cpp
+++ b/src/libs/entry_host/quota_broker.cpp
@@ -9,7 +9,6 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
-#include <ctime>
 #include <ranges>
 #include <utility>
 
@@ -69,15 +68,6 @@
   return Duties;
 }
 
-// The steady clock stands still while the system is suspended, this one
-// doesn't.
-duration uptime() {
-  timespec Time{};
-  if (clock_gettime(CLOCK_BOOTTIME, &Time) != 0)
-    return duration::zero();
-  return seconds(Time.tv_sec) + std::chrono::nanoseconds(Time.tv_nsec);
-}
-
 std::uint32_t toWireMs(duration Value) {
   const auto Ms = std::chrono::ceil<milliseconds>(Value).count();
   return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
@@ -521,8 +511,8 @@
 void quota_broker::recordRunning() {
   if (!UpkeepRunning)
     return;
-  const duration Pause =
-      coriandertray::recordRunning(Owner, Clock.now(), uptime(), AnswerTimeout);
+  const duration Pause = coriandertray::recordRunning(
+      Owner, Clock.now(), Clock.uptime(), AnswerTimeout);
   if (Pause > duration::zero())
     logEvent(log_level::Warning, "event-loop-paused",
              {{"pause_ms", toMilliseconds(Pause)}});
--- a/tests/auto/entry_host/fleet_fixture.h
+++ b/tests/auto/entry_host/fleet_fixture.h
@@ -33,6 +33,26 @@
 /// first fleet_fixture is built.
 inline log_level TestLogLevel = log_level::Error;
 
+/// The steady clock, and jumps of it that a test makes.
+class shifted_clock final : public clock_source {
+public:
+  [[nodiscard]] time_point now() const override {
+    return Steady.now() + Paused;
+  }
+  [[nodiscard]] duration uptime() const override {
+    return Steady.uptime() + Paused + Suspended;
+  }
+  /// Makes it look as if no process had run for \p Time.
+  void pause(duration Time) { Paused += Time; }
+  /// Makes it look as if the system had been suspended for \p Time.
+  void suspend(duration Time) { Suspended += Time; }
+
+private:
+  steady_clock_source Steady;
+  duration Paused{0};
+  duration Suspended{0};
+};
+
 /// A platform that keeps its objects in memory.
 class in_memory_platform final : public platform_port {
 public:
@@ -361,7 +381,7 @@
   }
 
   asio::io_context Context;
-  steady_clock_source Clock;
+  shifted_clock Clock;
   in_memory_platform Platform;
   /// The connection of each host, in the order of Hosts.
   std::vector<std::unique_ptr<platform_connection>> PlatformConnections;
--- a/tests/auto/entry_host/tst_graceful_stop.cpp
+++ b/tests/auto/entry_host/tst_graceful_stop.cpp
@@ -99,6 +99,50 @@
   CHECK(Served >= 2);
 }
 
+// Guards against: a host that did not run when the platform sent the signal
+// counts its grace period from the moment at which it handles the signal, and
+// passes on requests that the kill at the end of the grace period cuts off.
+TEST_CASE("a host that was paused refuses what the end of its grace cuts") {
+  const milliseconds Pause = GracePeriod - TimeLimit;
+  std::function<void(shifted_clock &)> PauseClock;
+  SUBCASE("frozen") {
+    PauseClock = [&](shifted_clock &Clock) { Clock.pause(Pause); };
+  }
+  SUBCASE("suspended") {
+    PauseClock = [&](shifted_clock &Clock) { Clock.suspend(Pause); };
+  }
+  fleet_fixture Fleet;
+  scripted_backend &Backend = Fleet.addBackend(respondAfter(milliseconds(10)));
+  std::string Response;
+  Fleet.run([&]() -> asio::awaitable<void> {
+    setGracePeriod(Fleet, GracePeriod);
+    PauseClock(Fleet.Clock);
+    Fleet.Hosts[0]->leave();
+    Response = co_await Fleet.sendAndReceive(post("r1"));
+  });
+  CHECK(Fleet.statusOf(Response) == 503);
+  CHECK(Response.find("Retry-After") != std::string::npos);
+  CHECK(Backend.Requests.empty());
+}
+
+// Guards against: a leaving host that is suspended counts its grace period by a
+// clock that stands still meanwhile.
+TEST_CASE("a leaving host that was suspended refuses what it can't end") {
+  fleet_fixture Fleet;
+  scripted_backend &Backend = Fleet.addBackend(respondAfter(milliseconds(10)));
+  std::string Response;
+  Fleet.run([&]() -> asio::awaitable<void> {
+    setGracePeriod(Fleet, GracePeriod);
+    Fleet.Hosts[0]->leave();
+    co_await pauseFor(milliseconds(50));
+    Fleet.Clock.suspend(GracePeriod - TimeLimit);
+    co_await pauseFor(milliseconds(300));
+    Response = co_await Fleet.sendAndReceive(post("r1"));
+  });
+  CHECK(Fleet.statusOf(Response) == 503);
+  CHECK(Backend.Requests.empty());
+}
+
 // Guards against: a request that waits for a slot when the signal arrives is
 // cut without a response when the host exits.
 TEST_CASE("a leaving host refuses a waiting request that might outlast it") {
