Entry host: Move the handover to an allocator to a file of its own

What a host tells an allocator that takes over moves unchanged to slot_broker_handover.cpp; tst_entry_host passes.

--- a/src/libs/entry_host/slot_broker.cpp
+++ b/src/libs/entry_host/slot_broker.cpp
@@ -161,40 +161,6 @@
     Allocations.erase(Name);
 }
 
-// Reports the leases of this host to the allocator if it is a new one.
-// \returns whether it is.
-bool slot_broker::switchAllocator(const std::string &Pool,
-                                  const std::string &Host) {
-  current_allocator &Current = CurrentAllocators[Pool];
-  const link_pointer Link = Peers.linkTo(Host);
-  const bool SameHost = Current.Host == Host;
-  if (SameHost && Current.Link.lock() == Link)
-    return false;
-  logEvent(log_level::Info, "allocator-changed",
-           {{"pool", Pool}, {"from", Current.Host}, {"to", Host}});
-  Current = {Host, Link};
-  const time_point Now = Clock.now();
-  for (const auto &[Id, Slot] : HeldSlots) {
-    if (Slot.Pool != Pool || (Slot.Allocator == Host && !SameHost))
-      continue;
-    const slot_lease_report Report = {
-        {Self, Id}, Slot.Backend, Slot.Work, Slot.Start, Slot.Deadline};
-    if (Host == Self)
-      adoptLease(allocationFor(Pool), Report, Now);
-    else
-      Peers.send(Host, makeBody(toWire(Report, Pool, Now)));
-  }
-  return true;
-}
-
-std::vector<known_backend_report>
-slot_broker::knownReportsFor(const std::string &PoolName) const {
-  const server_pool *Pool = findPool(PoolName);
-  if (!Pool)
-    return {};
-  return reportsOf(Reports, Pool->Servers, Clock.now());
-}
-
 bool slot_broker::mayUse(const slot_answer &Grant) const {
   return acceptsRequests(Reports, Grant.Backend, Grant.StartedAtUnixMs,
                          Clock.now());
