Allocation: Hand the retry budget over to the allocator that takes over

Change: each host keeps what it sent in the last window, by service, and reports it with its first request to an allocator that takes over. Until all hosts have reported, the allocator holds back the slack that the others may have used, for a window at most.

The same hand-over serves an allocator whose host stops or is cut off.

--- a/src/libs/allocation/allocator_backends.cpp
+++ b/src/libs/allocation/allocator_backends.cpp
@@ -137,6 +137,8 @@
 
 void setRole(slot_allocator &State, allocator_role Role, std::size_t HostCount,
              time_point Now) {
+  // A host that allocates for itself uses its own share of the retry budget.
+  State.RetryBudget.HostCount = Role == allocator_role::Local ? 1 : HostCount;
   const double Share = rateLimitShare(Role, HostCount);
   if (std::exchange(State.RateLimitShare, Share) == Share)
     return;
--- a/src/libs/allocation/retry_window.cpp
+++ b/src/libs/allocation/retry_window.cpp
@@ -1,22 +1,20 @@
 #include "allocation/retry_window.h"
 
+#include <algorithm>
+#include <ranges>
+#include <utility>
+
 namespace coriandertray {
 
 namespace {
 
 constexpr int SlicesPerWindow = 20;
-// An allocator that has just taken over does not know how many retries its
-// predecessor allowed, and both may be active for a while. Each therefore uses
-// only a part of the budget.
-constexpr double TakeoverSafetyShare = 0.5;
-
-retry_window::slice &currentSlice(retry_window &Window,
-                                  const retry_limits &Limits, time_point Now) {
-  while (!Window.Slices.empty() &&
-         Now - Window.Slices.front().Start > Limits.Window)
-    Window.Slices.pop_front();
-  const duration Length = Limits.Window / SlicesPerWindow;
-  if (Window.Slices.empty() || Now - Window.Slices.back().Start >= Length)
+
+attempt_slice &currentSlice(retry_window &Window, duration Length,
+                            time_point Now) {
+  dropExpired(Window, Length, Now);
+  const duration SliceLength = Length / SlicesPerWindow;
+  if (Window.Slices.empty() || Now - Window.Slices.back().Start >= SliceLength)
     Window.Slices.push_back({Now, 0, 0});
   return Window.Slices.back();
 }
@@ -29,27 +27,48 @@
   return Part;
 }
 
-void recordRequest(retry_window &Window, const retry_limits &Limits,
-                   time_point Now) {
-  ++currentSlice(Window, Limits, Now).Requests;
+void dropExpired(retry_window &Window, duration Length, time_point Now) {
+  while (!Window.Slices.empty() && Now - Window.Slices.front().Start > Length) {
+    Window.Requests -= Window.Slices.front().Requests;
+    Window.Retries -= Window.Slices.front().Retries;
+    Window.Slices.pop_front();
+  }
+  // Nothing of the sums' rounding errors stays.
+  if (Window.Slices.empty())
+    Window = {};
+}
+
+void recordRequest(retry_window &Window, duration Length, time_point Now) {
+  ++currentSlice(Window, Length, Now).Requests;
+  ++Window.Requests;
+}
+
+void recordRetry(retry_window &Window, duration Length, time_point Now) {
+  ++currentSlice(Window, Length, Now).Retries;
+  ++Window.Retries;
+}
+
+std::vector<attempt_slice> divideAttempts(retry_window &Window,
+                                          std::size_t Parts, duration Length,
+                                          time_point Now) {
+  (void)currentSlice(Window, Length, Now);
+  const auto Divisor = static_cast<double>(Parts);
+  std::vector<attempt_slice> Part;
+  for (const attempt_slice &Slice : Window.Slices)
+    Part.push_back(
+        {Slice.Start, Slice.Requests / Divisor, Slice.Retries / Divisor});
+  return Part;
 }
 
-bool tryConsumeRetry(retry_window &Window, const retry_limits &Limits,
-                     double ReservedShare, time_point Now) {
-  retry_window::slice &Current = currentSlice(Window, Limits, Now);
-  double Requests = 0;
-  double Retries = 0;
-  for (const retry_window::slice &Slice : Window.Slices) {
-    Requests += Slice.Requests;
-    Retries += Slice.Retries;
+retry_window makeRetryWindow(std::vector<attempt_slice> Slices) {
+  std::ranges::sort(Slices, {}, &attempt_slice::Start);
+  retry_window Window;
+  for (const attempt_slice &Slice : Slices) {
+    Window.Slices.push_back(Slice);
+    Window.Requests += Slice.Requests;
+    Window.Retries += Slice.Retries;
   }
-  const double Allowed =
-      TakeoverSafetyShare * Limits.Slack +
-      Limits.Ratio * Requests * (1 - TakeoverSafetyShare / 4);
-  if (Retries + 1 > Allowed * (1 - ReservedShare))
-    return false;
-  ++Current.Retries;
-  return true;
+  return Window;
 }
 
 } // namespace coriandertray
--- a/src/libs/allocation/retry_window.h
+++ b/src/libs/allocation/retry_window.h
@@ -1,12 +1,13 @@
 /// \file
-/// The retry budget of one allocator over a sliding window.
+/// How many first attempts and retries were made within a sliding window.
 #pragma once
 
 #include "utils/clock.h"
 
+#include <compare>
 #include <cstddef>
-#include <cstdint>
 #include <deque>
+#include <vector>
 
 namespace coriandertray {
 
@@ -25,26 +26,40 @@
 [[nodiscard]] retry_limits divideRetryLimits(const retry_limits &Limits,
                                              std::size_t Parts);
 
-/// Counts of first attempts and retries per slice of the window. Plain state;
-/// not thread-safe.
+/// The attempts of a part of a window. The numbers are fractions where the
+/// attempts of a service are divided among its pools.
+struct attempt_slice {
+  time_point Start;
+  double Requests = 0;
+  double Retries = 0;
+  auto operator<=>(const attempt_slice &) const = default;
+};
+
+/// The slices of a window, in the order of their starts, and their sums. Plain
+/// state; not thread-safe.
 struct retry_window {
-  struct slice {
-    time_point Start;
-    std::uint32_t Requests = 0;
-    std::uint32_t Retries = 0;
-    auto operator<=>(const slice &) const = default;
-  };
-  std::deque<slice> Slices;
+  std::deque<attempt_slice> Slices;
+  double Requests = 0;
+  double Retries = 0;
 };
 
-/// Counts a first attempt.
-void recordRequest(retry_window &Window, const retry_limits &Limits,
-                   time_point Now);
+/// Removes the slices that began more than \p Length before \p Now.
+void dropExpired(retry_window &Window, duration Length, time_point Now);
+
+/// Counts a first attempt in a window of \p Length.
+void recordRequest(retry_window &Window, duration Length, time_point Now);
+
+/// Counts a retry in a window of \p Length.
+void recordRetry(retry_window &Window, duration Length, time_point Now);
+
+/// \returns the attempts of \p Window divided by \p Parts, never empty: one
+/// without attempts has a slice that says so. \pre \p Parts is above zero.
+[[nodiscard]] std::vector<attempt_slice> divideAttempts(retry_window &Window,
+                                                        std::size_t Parts,
+                                                        duration Length,
+                                                        time_point Now);
 
-/// Counts a retry if that leaves at least \p ReservedShare in [0, 1) of the
-/// budget unused. \returns whether the retry is allowed.
-[[nodiscard]] bool tryConsumeRetry(retry_window &Window,
-                                   const retry_limits &Limits,
-                                   double ReservedShare, time_point Now);
+/// \returns a window of \p Slices, in any order.
+[[nodiscard]] retry_window makeRetryWindow(std::vector<attempt_slice> Slices);
 
 } // namespace coriandertray
--- a/src/libs/allocation/slot_allocator.cpp
+++ b/src/libs/allocation/slot_allocator.cpp
@@ -69,8 +69,8 @@
   if (!Best || Best->Backend->FailureProbability >
                    State.Policy.HedgeMaxFailureProbability)
     return std::nullopt;
-  if (!tryConsumeRetry(State.RetryWindow, State.RetryLimits, HedgeReservedShare,
-                       Now))
+  if (!tryConsumeRetry(State.RetryBudget, State.RetryLimits, Request.Key.Host,
+                       HedgeReservedShare, Now))
     return refusal(Request, RetryBudgetReason, MinRetryAfter);
   return grant(State, *Best->Backend, Request, {}, Now);
 }
@@ -152,9 +152,10 @@
 slot_answer decideOnArrival(slot_allocator &State, const slot_request &Request,
                             time_point Now) {
   if (Request.RetryReason == retry_reason::None)
-    recordRequest(State.RetryWindow, State.RetryLimits, Now);
+    recordRequest(State.RetryBudget, State.RetryLimits, Request.Key.Host, Now);
   else if (!isHedge(Request) &&
-           !tryConsumeRetry(State.RetryWindow, State.RetryLimits, 0, Now))
+           !tryConsumeRetry(State.RetryBudget, State.RetryLimits,
+                            Request.Key.Host, 0, Now))
     return refusal(Request, RetryBudgetReason, MinRetryAfter);
   if (!isHedge(Request))
     recordArrival(State.Shares, shareKey(Request), Now);
@@ -191,6 +192,9 @@
                         time_point Now) {
   refreshBackends(State, Now);
   applyKnownReports(State, Request, Now);
+  if (!Request.RecentAttempts.empty())
+    adoptAttempts(State.RetryBudget, State.RetryLimits, Request.Key.Host,
+                  Request.RecentAttempts, Now);
   slot_answer Answer = decideOnArrival(State, Request, Now);
   countRefusal(State.Counts.OnArrival, Answer);
   return Answer;
--- a/src/libs/allocation/slot_allocator.h
+++ b/src/libs/allocation/slot_allocator.h
@@ -12,7 +12,7 @@
 #include "allocation/fair_share.h"
 #include "allocation/latency_profile.h"
 #include "allocation/placement.h"
-#include "allocation/retry_window.h"
+#include "allocation/retry_budget.h"
 #include "allocation/return_schedule.h"
 #include "allocation/slot_messages.h"
 #include "discovery/backend_registration.h"
@@ -54,7 +54,7 @@
   std::vector<latency_profile> Profiles;
   /// Index into Profiles by request class.
   std::map<std::string, std::size_t> ProfileIndices;
-  retry_window RetryWindow;
+  retry_budget RetryBudget;
   /// What the accounts have received.
   fair_share Shares;
   /// When the callers of refused requests return.
@@ -77,7 +77,8 @@
                  time_point Now);
 
 /// Sets the role of the allocator in a fleet of \p HostCount hosts, which
-/// determines the part of each rate limit that it uses.
+/// determines the part of each rate limit that it uses, and which hosts may
+/// have used the retry budget before.
 void setRole(slot_allocator &State, allocator_role Role, std::size_t HostCount,
              time_point Now);
 
--- a/src/libs/allocation/slot_messages.h
+++ b/src/libs/allocation/slot_messages.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "allocation/backend_report.h"
+#include "allocation/retry_window.h"
 #include "utils/address.h"
 #include "utils/clock.h"
 
@@ -63,6 +64,9 @@
   /// What the requesting host knows of the backend servers and the allocator
   /// may not, because it has just taken over.
   std::vector<known_backend_report> KnownReports;
+  /// What the requesting host has sent to the servers of the pool in the last
+  /// retry window, if the allocator may not know it. Empty otherwise.
+  std::vector<attempt_slice> RecentAttempts;
   bool operator==(const slot_request &) const = default;
 };
 
--- a/src/libs/entry_host/slot_broker.cpp
+++ b/src/libs/entry_host/slot_broker.cpp
@@ -52,6 +52,20 @@
           {"retry_budget", Counts.RetryBudget}};
 }
 
+json::object toJson(const retry_budget &Budget) {
+  double Requests = 0;
+  double Retries = 0;
+  std::size_t Reported = 0;
+  for (const auto &[Host, Attempts] : Budget.Hosts) {
+    Requests += Attempts.Window.Requests;
+    Retries += Attempts.Window.Retries;
+    Reported += Attempts.HasReported ? 1 : 0;
+  }
+  return {{"requests", Requests},
+          {"retries", Retries},
+          {"hosts_reported", Reported}};
+}
+
 json::object toJson(const admission_counts &Counts) {
   return {{"delayed", Counts.Delayed},
           {"rejected_on_arrival", toJson(Counts.OnArrival)},
@@ -72,12 +86,19 @@
     : Context(Context), Clock(Clock), Peers(Peers), Self(std::move(Self)),
       Zone(std::move(Zone)), Retries(Retries), NextId(firstId()) {}
 
+std::map<std::string, service_pools>::const_iterator
+slot_broker::findServiceOf(const std::string &Pool) const {
+  return std::ranges::find_if(Services, [&Pool](const auto &Entry) {
+    const std::vector<server_pool> &Pools = Entry.second.Pools;
+    return std::ranges::find(Pools, Pool, &server_pool::Name) != Pools.end();
+  });
+}
+
 const server_pool *slot_broker::findPool(const std::string &Name) const {
-  for (const auto &[Service, ServicePools] : Services)
-    for (const server_pool &Pool : ServicePools.Pools)
-      if (Pool.Name == Name)
-        return &Pool;
-  return nullptr;
+  const auto Service = findServiceOf(Name);
+  if (Service == Services.end())
+    return nullptr;
+  return &*std::ranges::find(Service->second.Pools, Name, &server_pool::Name);
 }
 
 const server_pool &slot_broker::choosePool(const std::string &Service) {
@@ -91,11 +112,9 @@
 // budget the other hosts spend, so it takes an even share of it.
 retry_limits slot_broker::retryLimitsFor(const std::string &Pool,
                                          allocator_role Role) const {
-  std::size_t ShareCount = 1;
-  for (const auto &[Service, ServicePools] : Services)
-    if (std::ranges::find(ServicePools.Pools, Pool, &server_pool::Name) !=
-        ServicePools.Pools.end())
-      ShareCount = ServicePools.Pools.size();
+  const auto Service = findServiceOf(Pool);
+  std::size_t ShareCount =
+      Service == Services.end() ? 1 : Service->second.Pools.size();
   if (Role == allocator_role::Local)
     ShareCount *= std::max<std::size_t>(1, Peers.members().size());
   return divideRetryLimits(Retries, ShareCount);
@@ -159,6 +178,11 @@
   }
   for (const std::string &Name : Gone)
     Allocations.erase(Name);
+  // A pool of the same name that comes back later has an allocator that knows
+  // nothing, even if the same host runs it.
+  std::erase_if(CurrentAllocators, [this](const auto &Entry) {
+    return findPool(Entry.first) == nullptr;
+  });
 }
 
 bool slot_broker::mayUse(const slot_answer &Grant) const {
@@ -233,8 +257,10 @@
   for (const std::string &Host : allocatorCandidates(Pool)) {
     Pending->Allocator = Host;
     Pending->Acknowledged = false;
-    if (switchAllocator(Pool, Host))
+    if (switchAllocator(Pool, Host)) {
       Request.KnownReports = knownReportsFor(Pool);
+      Request.RecentAttempts = recentAttemptsFor(Pool);
+    }
     if (Host == Self)
       requestLocally(Pool, Request, Pending);
     else
@@ -307,6 +333,7 @@
     if (!TriedPools.insert(Pool).second)
       break;
     Slot = co_await acquireUsable(Pool, Request, Wait);
+    recordAttempt(Service, Request, Slot.Answer);
     const bool OtherPoolMayServe = isRefusal(Slot.Answer, "overloaded") ||
                                    isRefusal(Slot.Answer, NoServerReason);
     if (!OtherPoolMayServe || Wait->GivenUp)
@@ -423,6 +450,7 @@
                          {"hosts_held_off", Backend.Holds.size()},
                          {"sick_probability", Backend.FailureProbability}});
     Allocated[Pool] = json::object{{"waiting", State.Queue.size()},
+                                   {"retry_budget", toJson(State.RetryBudget)},
                                    {"admission", toJson(State.Counts)},
                                    {"rate_limit_share", State.RateLimitShare},
                                    {"backend_servers", std::move(Servers)}};
--- a/src/libs/entry_host/slot_broker.h
+++ b/src/libs/entry_host/slot_broker.h
@@ -102,6 +102,8 @@
 
   slot_allocator &allocationFor(const std::string &Pool);
   void updateAllocations();
+  [[nodiscard]] std::map<std::string, service_pools>::const_iterator
+  findServiceOf(const std::string &Pool) const;
   [[nodiscard]] const server_pool *findPool(const std::string &Pool) const;
   [[nodiscard]] const server_pool &choosePool(const std::string &Service);
   [[nodiscard]] allocator_role roleFor(const std::string &Pool) const;
@@ -111,6 +113,10 @@
                   allocator_role Role);
   [[nodiscard]] std::vector<known_backend_report>
   knownReportsFor(const std::string &Pool) const;
+  [[nodiscard]] std::vector<attempt_slice>
+  recentAttemptsFor(const std::string &Pool);
+  void recordAttempt(const std::string &Service, const slot_request &Request,
+                     const slot_answer &Answer);
   [[nodiscard]] bool mayUse(const slot_answer &Grant) const;
   asio::awaitable<acquired_slot>
   acquireUsable(const std::string &Pool, slot_request Request,
@@ -154,6 +160,9 @@
   std::map<std::uint64_t, held_slot> HeldSlots;
   /// By pool.
   std::map<std::string, current_allocator> CurrentAllocators;
+  /// What this host sent in the last retry window, by service: pools and their
+  /// allocators may be replaced.
+  std::map<std::string, retry_window> RecentAttempts;
   /// What backend servers stated in the responses that this host got; passed
   /// on to an allocator that takes over.
   backend_reports Reports;
--- a/src/libs/entry_host/slot_broker_handover.cpp
+++ b/src/libs/entry_host/slot_broker_handover.cpp
@@ -42,4 +42,26 @@
   return reportsOf(Reports, Pool->Servers, Clock.now());
 }
 
+// The attempts of a service go to its pools alike, and each pool has an equal
+// part of the budget.
+std::vector<attempt_slice>
+slot_broker::recentAttemptsFor(const std::string &Pool) {
+  const auto Service = findServiceOf(Pool);
+  if (Service == Services.end())
+    return {};
+  return divideAttempts(RecentAttempts[Service->first],
+                        Service->second.Pools.size(), Retries.Window,
+                        Clock.now());
+}
+
+void slot_broker::recordAttempt(const std::string &Service,
+                                const slot_request &Request,
+                                const slot_answer &Answer) {
+  retry_window &Window = RecentAttempts[Service];
+  if (Request.RetryReason == retry_reason::None)
+    recordRequest(Window, Retries.Window, Clock.now());
+  else if (Answer.Verdict == slot_verdict::Granted)
+    recordRetry(Window, Retries.Window, Clock.now());
+}
+
 } // namespace coriandertray
--- a/src/libs/entry_host/slot_wire.cpp
+++ b/src/libs/entry_host/slot_wire.cpp
@@ -54,6 +54,24 @@
   return Known;
 }
 
+std::unique_ptr<wire::attempt_slice_value> toWire(const attempt_slice &Slice,
+                                                  time_point Now) {
+  auto Value = std::make_unique<wire::attempt_slice_value>();
+  Value->age_ms = toWireMs(Now - Slice.Start);
+  Value->requests = static_cast<float>(Slice.Requests);
+  Value->retries = static_cast<float>(Slice.Retries);
+  return Value;
+}
+
+// Numbers that no host counts are taken as zero.
+attempt_slice fromWire(const wire::attempt_slice_value &Value, time_point Now) {
+  const auto Count = [](double Number) {
+    return std::isfinite(Number) && Number > 0 ? Number : 0;
+  };
+  return {Now - milliseconds(Value.age_ms), Count(Value.requests),
+          Count(Value.retries)};
+}
+
 } // namespace
 
 wire::slot_request_value toWire(const slot_request &Request,
@@ -75,6 +93,8 @@
   Value.unreachable = Request.Unreachable;
   for (const known_backend_report &Known : Request.KnownReports)
     Value.known_reports.push_back(toWire(Known, Now));
+  for (const attempt_slice &Slice : Request.RecentAttempts)
+    Value.recent_attempts.push_back(toWire(Slice, Now));
   Value.account = Request.Account;
   Value.account_priority =
       static_cast<std::uint8_t>(std::min(Request.AccountPriority, 255U));
@@ -99,6 +119,8 @@
   Request.Unreachable = Value.unreachable;
   for (const auto &Entry : Value.known_reports)
     Request.KnownReports.push_back(fromWire(*Entry, Now));
+  for (const auto &Entry : Value.recent_attempts)
+    Request.RecentAttempts.push_back(fromWire(*Entry, Now));
   Request.Account = Value.account;
   Request.AccountPriority = Value.account_priority;
   const bool WeightIsValid =
--- a/tests/auto/allocation/tst_slot_allocator.cpp
+++ b/tests/auto/allocation/tst_slot_allocator.cpp
@@ -205,16 +205,16 @@
 TEST_CASE("retries in any window stay within the budget") {
   const bool Holds = rc::check("for random arrivals", [] {
     const retry_limits Limits = {0.2, seconds(10), 20};
-    retry_window Window;
+    retry_budget Budget;
     time_point Now{std::chrono::hours(1)};
     std::vector<time_point> Requests;
     std::vector<time_point> Retries;
     for (int Step = 0; Step < 400; ++Step) {
       Now += milliseconds(*rc::gen::inRange(0, 120));
       if (*rc::gen::inRange(0, 3) > 0) {
-        recordRequest(Window, Limits, Now);
+        recordRequest(Budget, Limits, "host", Now);
         Requests.push_back(Now);
-      } else if (tryConsumeRetry(Window, Limits, 0, Now)) {
+      } else if (tryConsumeRetry(Budget, Limits, "host", 0, Now)) {
         Retries.push_back(Now);
       }
       const auto InWindow = [&](const std::vector<time_point> &Times) {
@@ -239,12 +239,12 @@
   int Requests = 0;
   for (std::size_t Host = 0; Host < Hosts; ++Host) {
     const retry_limits Part = divideRetryLimits(Limits, Hosts);
-    retry_window Window;
+    retry_budget Budget;
     for (int Count = 0; Count < 8; ++Count) {
-      recordRequest(Window, Part, Now);
+      recordRequest(Budget, Part, "host", Now);
       ++Requests;
     }
-    while (tryConsumeRetry(Window, Part, 0, Now))
+    while (tryConsumeRetry(Budget, Part, "host", 0, Now))
       ++Retries;
   }
   CHECK(Retries > 0);
--- a/tests/auto/entry_host/tst_slot_wire.cpp
+++ b/tests/auto/entry_host/tst_slot_wire.cpp
@@ -27,6 +27,8 @@
   Request.KnownReports = {
       {"x", 17, {1.5}, Now - milliseconds(70), false, Now},
       {"y", 18, {}, Now - milliseconds(5), true, Now + milliseconds(1500)}};
+  Request.RecentAttempts = {{Now - milliseconds(700), 3, 0.5},
+                            {Now - milliseconds(10), 0.25, 0}};
   CHECK(fromWire(toWire(Request, "service", Now), Now) == Request);
   slot_answer Answer;
   Answer.Key = {"host", 7};
