HTTP client: Refuse responses whose head is not one

Reported: callers got answers with the status 000, or with a field whose name held a blank or a control byte. Here the parser refused such names, but a status below 100 and 101 counted as interim, a line that begins with a blank was passed on in the field before it, a body with an unknown transfer coding as it came, and trailers as fields of the head.

Cause: nothing checked what the parser lets pass. The caller's requests have framing_check; responses had none.

Change: response_reader reads every response of every client: it refuses continuation lines before they are parsed, checks status and framing before the body is read, and drops trailers. The call ends as malformed.

--- a/src/libs/http/http_client.cpp
+++ b/src/libs/http/http_client.cpp
@@ -1,6 +1,7 @@
 #include "http/http_client.h"
 
 #include "http/body_budget.h"
+#include "http/response_reader.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -61,18 +62,8 @@
   return Message;
 }
 
-http_response toResponse(http::response<http::string_body> Message) {
-  http_response Response;
-  Response.Status = Message.result_int();
-  for (const auto &Field : Message)
-    Response.Headers.push_back(
-        {std::string(Field.name_string()), std::string(Field.value())});
-  Response.Body = std::move(Message.body());
-  return Response;
-}
-
-call_status statusOfReadFailure(const beast::error_code &Failure,
-                                bool ResponseBegan) {
+call_status statusOfReadFailure(const response_failure &Read) {
+  const beast::error_code &Failure = Read.Code;
   if (Failure == beast::error::timeout)
     return call_status::TimedOut;
   if (Failure == http::error::body_limit ||
@@ -86,7 +77,7 @@
       beast::error_code(http::error::bad_value).category();
   if (IsHttpFailure && Failure != http::error::end_of_stream)
     return call_status::Malformed;
-  return ResponseBegan ? call_status::Truncated : call_status::Lost;
+  return Read.ResponseBegan ? call_status::Truncated : call_status::Lost;
 }
 
 enum class request_id_match : std::uint8_t {
@@ -109,11 +100,6 @@
                                  : request_id_match::Matches;
 }
 
-bool isInterim(const http_response &Response) {
-  constexpr unsigned FirstFinalStatus = 200;
-  return Response.Status < FirstFinalStatus;
-}
-
 // Half of the timeout in the Keep-Alive header, so that a connection is not
 // reused just as the server closes it; unlimited without that header.
 duration serverIdleLimit(const http_response &Response) {
@@ -190,23 +176,6 @@
     Close();
 }
 
-using response_parser = http::response_parser<http::string_body>;
-
-asio::awaitable<beast::error_code> readResponse(connection &Connection,
-                                                response_parser &Parser,
-                                                body_reservation &Reservation) {
-  Parser.eager(true);
-  while (!Parser.is_done()) {
-    auto [Failure, Count] = co_await http::async_read_some(
-        Connection.Stream, Connection.Buffer, Parser, UseTuple);
-    if (Failure)
-      co_return Failure;
-    if (!Reservation.resize(Parser.get().body().size()))
-      co_return http::error::body_limit;
-  }
-  co_return beast::error_code();
-}
-
 struct http_client::shared_state {
   asio::io_context &Context;
   http_client_limits Limits;
@@ -298,24 +267,22 @@
   const auto Outgoing =
       startWriting(Connection, toMessage(std::move(Request), Address));
   bool MismatchedResponse = false;
-  bool LengthKnown = true;
-  bool KeepAlive = false;
+  received_response Received;
   // Limits the interim (1xx) and mismatched responses that are skipped.
   constexpr int MaxResponses = 8;
   body_reservation Reservation(Client->Budget);
+  const response_limits ResponseLimits = {Client->Limits.BodyBytes,
+                                          Client->Limits.HeaderBytes, IsHead};
   for (int Count = 0; Count < MaxResponses; ++Count) {
-    response_parser Parser;
-    Parser.body_limit(Client->Limits.BodyBytes);
-    Parser.header_limit(Client->Limits.HeaderBytes);
-    Parser.skip(IsHead);
-    const beast::error_code ReadFailure =
-        co_await readResponse(*Connection, Parser, Reservation);
-    if (ReadFailure) {
+    tl::expected<received_response, response_failure> Next =
+        co_await readResponse(Connection->Stream, Connection->Buffer,
+                              ResponseLimits, Reservation);
+    if (!Next) {
       boost::system::error_code Ignored;
       Connection->Stream.socket().close(Ignored);
       const bool NotSent =
           Outgoing->Done && Outgoing->Failure && Outgoing->Written == 0;
-      Result.Status = statusOfReadFailure(ReadFailure, Parser.got_some());
+      Result.Status = statusOfReadFailure(Next.error());
       const bool TimedOut = Result.Status == call_status::TimedOut;
       if (MismatchedResponse && !TimedOut)
         Result.Status = call_status::Malformed;
@@ -325,35 +292,33 @@
         Result.Status = call_status::Cancelled;
       co_return Result;
     }
-    LengthKnown = !Parser.need_eof();
-    auto Message = Parser.release();
-    KeepAlive = Message.keep_alive();
-    Result.Response = toResponse(std::move(Message));
+    Received = std::move(*Next);
     Result.Status = call_status::Answered;
-    if (isInterim(Result.Response))
+    if (isInterimStatus(Received.Response.Status))
       continue;
     const request_id_match Match =
-        matchRequestId(SentId, Client->Limits, Result.Response);
+        matchRequestId(SentId, Client->Limits, Received.Response);
     if (Match == request_id_match::Matches)
       break;
     MismatchedResponse = true;
     Result.Status = call_status::Malformed;
-    const bool MayFollow = LengthKnown && KeepAlive;
+    const bool MayFollow = Received.LengthKnown && Received.KeepAlive;
     if (Match == request_id_match::Missing || !MayFollow)
       break;
   }
-  if (isInterim(Result.Response))
+  if (isInterimStatus(Received.Response.Status))
     Result.Status = call_status::Malformed;
   const bool IsComplete =
-      LengthKnown || Client->Limits.AcceptResponsesWithoutLength;
+      Received.LengthKnown || Client->Limits.AcceptResponsesWithoutLength;
   if (Result.Status == call_status::Answered && !IsComplete)
     Result.Status = call_status::Truncated;
   const bool NoSurplusData =
       Connection->Buffer.size() == 0 && !MismatchedResponse;
-  const bool Reusable = Result.Status == call_status::Answered && KeepAlive &&
-                        LengthKnown && NoSurplusData && Outgoing->Done &&
-                        !Outgoing->Failure;
-  Connection->ServerIdleLimit = serverIdleLimit(Result.Response);
+  const bool Reusable = Result.Status == call_status::Answered &&
+                        Received.KeepAlive && Received.LengthKnown &&
+                        NoSurplusData && Outgoing->Done && !Outgoing->Failure;
+  Connection->ServerIdleLimit = serverIdleLimit(Received.Response);
+  Result.Response = std::move(Received.Response);
   if (!Reusable) {
     boost::system::error_code Ignored;
     Connection->Stream.socket().close(Ignored);
--- a/tests/auto/entry_host/tst_faulty_responses.cpp
+++ b/tests/auto/entry_host/tst_faulty_responses.cpp
@@ -167,3 +167,29 @@
       CHECK(Count == 1);
   }
 }
+
+// Guards against: a caller gets an answer whose status doesn't exist, or with a
+// line that is not a header.
+TEST_CASE("a response with a malformed head is not passed on") {
+  const std::string Ok = "HTTP/1.1 200 OK\r\n";
+  const std::vector<std::string> Begins = {"HTTP/1.1 000 Odd\r\n",
+                                           Ok + "X Odd: 1\r\n",
+                                           Ok + "X-Odd : 1\r\n",
+                                           Ok + "X-\x01Odd: 1\r\n",
+                                           Ok + "X-Odd: 1\r\n X-Folded: 2\r\n",
+                                           Ok + "Transfer-Encoding: gzip\r\n"};
+  for (const std::string &Begin : Begins) {
+    CAPTURE(Begin);
+    raw_fleet Fleet([&](const raw_request &Request) -> raw_reply {
+      const std::string Rest = success(idOf(Request)).substr(Ok.size());
+      return {Begin + Rest, after_reply::Close};
+    });
+    for (const std::string &Response : Fleet.book(2)) {
+      CHECK(fleet_fixture::statusOf(Response) == 502);
+      CHECK(Response.find("whole") == std::string::npos);
+      CHECK(Response.find("Odd") == std::string::npos);
+    }
+    for (const auto &[Id, Count] : Fleet.Arrivals)
+      CHECK(Count == 1);
+  }
+}
--- a/tests/auto/http/raw_server.h
+++ b/tests/auto/http/raw_server.h
@@ -10,27 +10,33 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace coriandertray::testing {
 
 namespace asio = boost::asio;
 
-/// What a server does with the connection after a reply.
-enum class after_reply : std::uint8_t { Keep, Close, Reset };
+/// What a server does with the connection after a reply. ReadOn ends its own
+/// side and reads on, until the client ends the connection.
+enum class after_reply : std::uint8_t { Keep, Close, Reset, ReadOn };
 
 struct raw_reply {
   std::string Bytes;
   after_reply Then = after_reply::Keep;
+  /// The time between the bytes and what follows.
+  std::chrono::milliseconds Pause{0};
 };
 
-/// A request without a body.
+/// A request. The server doesn't read its body before the reply.
 struct raw_request {
   /// Counts the connections of the server, from zero.
   int Connection = 0;
@@ -78,6 +84,15 @@
       co_await asio::async_write(Socket, asio::buffer(Reply.Bytes), UseTuple);
       if (Reply.Then == after_reply::Keep)
         continue;
+      if (Reply.Pause.count() > 0) {
+        asio::steady_timer Timer(Acceptor.get_executor(), Reply.Pause);
+        co_await Timer.async_wait(UseTuple);
+      }
+      if (Reply.Then == after_reply::ReadOn) {
+        Socket.shutdown(asio::socket_base::shutdown_send);
+        co_await discardRest(Socket);
+        co_return;
+      }
       // The destructor of a socket would turn lingering off again.
       if (Reply.Then == after_reply::Reset)
         Socket.set_option(asio::socket_base::linger(true, 0));
@@ -86,6 +101,16 @@
     }
   }
 
+  static asio::awaitable<void> discardRest(asio::ip::tcp::socket &Socket) {
+    std::vector<char> Discarded(1U << 16U);
+    for (;;) {
+      auto [Failure, Count] =
+          co_await Socket.async_read_some(asio::buffer(Discarded), UseTuple);
+      if (Failure)
+        co_return;
+    }
+  }
+
   asio::ip::tcp::acceptor Acceptor;
   script Script;
 };
