HTTP client: A response that is reset during the upload is not whole

A server answered a long upload at once with a 200 without a length, sent part of the body and reset the connection; the caller got that part as the whole. With an upload of 32 MB the call was answered with 0, 5 and 13 bytes, whenever the client was blocked in writing.

Cause: the system reports a reset once. The write of the upload gets it, the read then sees a regular end, and a failed write was ignored. Resets without an upload ended the call as truncated, so the read's error was not mistaken.

Change: a response without a length counts as truncated if the write of its request has failed. One with a length or in chunks is passed on as before, and so is one whose server ends its side in order and reads on.

--- a/src/libs/http/http_client.cpp
+++ b/src/libs/http/http_client.cpp
@@ -140,6 +140,13 @@
   return Outgoing;
 }
 
+// Whether the end of the connection that was read is the server's regular end.
+// The system reports a reset once, to a read or to a write. After a write that
+// got it, a read sees a regular end.
+bool endedRegularly(const outgoing_request &Outgoing) {
+  return !Outgoing.Done || !Outgoing.Failure;
+}
+
 } // namespace
 
 std::string_view callStatusName(call_status Status) {
@@ -309,7 +316,8 @@
   if (isInterimStatus(Received.Response.Status))
     Result.Status = call_status::Malformed;
   const bool IsComplete =
-      Received.LengthKnown || Client->Limits.AcceptResponsesWithoutLength;
+      Received.LengthKnown || (Client->Limits.AcceptResponsesWithoutLength &&
+                               endedRegularly(*Outgoing));
   if (Result.Status == call_status::Answered && !IsComplete)
     Result.Status = call_status::Truncated;
   const bool NoSurplusData =
--- a/tests/auto/http/tst_cut_responses.cpp
+++ b/tests/auto/http/tst_cut_responses.cpp
@@ -37,8 +37,9 @@
                                            "Signature: 3e1b.07\r\n\r\n"
                                            "until the end";
 
-/// \returns the result of one call that \p Reply answers.
-call_result callOnce(const raw_reply &Reply) {
+/// \returns the result of one call that \p Reply answers, with a request body
+/// of \p BodyBytes.
+call_result callOnce(const raw_reply &Reply, std::size_t BodyBytes = 0) {
   asio::io_context Context;
   raw_server Server(Context, ServerAddress,
                     [&Reply](const raw_request &) { return Reply; });
@@ -50,9 +51,10 @@
       Context,
       [&]() -> asio::awaitable<void> {
         http_request Request;
-        Request.Method = "GET";
+        Request.Method = BodyBytes == 0 ? "GET" : "POST";
         Request.Target = "/";
         Request.Headers = {{std::string(header::RequestId), "mine"}};
+        Request.Body.assign(BodyBytes, 'x');
         call_options Options;
         Result = co_await Client.call(ServerAddress, Request, Options);
         Context.stop();
@@ -62,6 +64,11 @@
   return Result;
 }
 
+// More than the buffers of a loopback connection take.
+constexpr std::size_t LongBodyBytes = 32U << 20U;
+// By then the client waits for the server to read on.
+constexpr milliseconds ClientBlocksAfter{100};
+
 } // namespace
 
 TEST_CASE("a response cut at any byte is not answered") {
@@ -89,3 +96,35 @@
     CHECK(callOnce({Sent, after_reply::Reset}).Status != call_status::Answered);
   }
 }
+
+// Guards against: the error of the reset goes to the write of the request, the
+// read then sees a regular end, and the part that arrived counts as the whole.
+TEST_CASE("a response without a length that is reset during the upload is not "
+          "answered") {
+  const std::size_t BodyAt = WithoutLength.find("\r\n\r\n") + 4;
+  for (const std::size_t Length : {BodyAt, BodyAt + 5, WithoutLength.size()})
+    for (const milliseconds Pause : {milliseconds(0), ClientBlocksAfter}) {
+      CAPTURE(Length);
+      const std::string Sent(WithoutLength.substr(0, Length));
+      const call_result Cut =
+          callOnce({Sent, after_reply::Reset, Pause}, LongBodyBytes);
+      CHECK(Cut.Status != call_status::Answered);
+      CHECK_FALSE(provesNotRun(Cut.Status));
+    }
+}
+
+TEST_CASE("a whole response during the upload is answered") {
+  SUBCASE("without a length, if the server ends its side and reads on") {
+    const call_result Result = callOnce(
+        {std::string(WithoutLength), after_reply::ReadOn, ClientBlocksAfter},
+        LongBodyBytes);
+    CHECK(Result.Status == call_status::Answered);
+    CHECK(Result.Response.Body == "until the end");
+  }
+  SUBCASE("with a length, also if the server resets the connection") {
+    const call_result Result = callOnce(
+        {std::string(WithLength), after_reply::Reset, ClientBlocksAfter},
+        LongBodyBytes);
+    CHECK(Result.Status == call_status::Answered);
+  }
+}
