Peer network: A leaving host asks the hosts that the others ask

The decisions beyond the quota named the leaving host as owner.

Cause: a host that leaves is not usable to the others, which choose the next owner, but it stayed usable to itself, and granted its bucket and the full rate to its own callers until it exited.

Change: usableHostsFor() ranks the usable hosts of a duty. A leaving host comes last in its own view, so that it decides only if no other can.

tst_quota_broker, "the quota holds while the owner leaves", failed before (428 of 262; decided by the leaving host) and passes now.

--- a/src/libs/entry_host/peer_network.cpp
+++ b/src/libs/entry_host/peer_network.cpp
@@ -107,6 +107,18 @@
   maintainLinks();
 }
 
+std::vector<std::string>
+peer_network::usableHostsFor(std::string_view Duty) const {
+  std::vector<std::string> Hosts;
+  std::ranges::copy_if(
+      hostsRankedFor(Duty), std::back_inserter(Hosts),
+      [this](const std::string &Host) { return isUsable(Host); });
+  if (Leaving)
+    std::ranges::stable_partition(
+        Hosts, [this](const std::string &Host) { return Host != Self; });
+  return Hosts;
+}
+
 bool peer_network::isUsable(const std::string &Host) const {
   if (Host == Self)
     return true;
@@ -159,6 +171,7 @@
 }
 
 void peer_network::announceLeaving() {
+  Leaving = true;
   envelope Message;
   wire::leaving_value Leaving;
   Leaving.host = Self;
--- a/src/libs/entry_host/peer_network.h
+++ b/src/libs/entry_host/peer_network.h
@@ -64,12 +64,18 @@
   void setDuties(const std::string &Group, std::set<std::string> Duties);
 
   /// \returns the hosts ranked for \p Duty, of which the first usable one
-  /// performs it. This host itself is always usable.
+  /// performs it: see usableHostsFor().
   [[nodiscard]] const std::vector<std::string> &
   hostsRankedFor(std::string_view Duty) const {
     return candidatesFor(Assignment, Duty);
   }
 
+  /// \returns the usable hosts ranked for \p Duty; the first one performs it. A
+  /// host that leaves comes last in its own view, as the others don't ask it
+  /// any more and count on another one.
+  [[nodiscard]] std::vector<std::string>
+  usableHostsFor(std::string_view Duty) const;
+
   /// \returns whether \p Host is this one, or is linked, isn't leaving and has
   /// a view that is not much older than this host's.
   [[nodiscard]] bool isUsable(const std::string &Host) const;
@@ -100,7 +106,8 @@
   /// Records that \p Host announced its shutdown.
   void markLeaving(const std::string &Host);
 
-  /// Announces the shutdown of this host on all incoming links.
+  /// Announces the shutdown of this host on all incoming links. From then on it
+  /// performs a duty only if no other host ranked for it is usable.
   void announceLeaving();
 
 private:
@@ -134,6 +141,7 @@
   duty_assignment Assignment;
   std::map<std::string, peer> Peers;
   std::vector<std::weak_ptr<frame_link>> IncomingLinks;
+  bool Leaving = false;
 };
 
 } // namespace coriandertray
--- a/src/libs/entry_host/quota_broker.cpp
+++ b/src/libs/entry_host/quota_broker.cpp
@@ -235,21 +235,15 @@
 quota_role quota_broker::roleFor(const std::string &Duty) {
   if (isCutOff())
     return quota_role::Isolated;
-  for (const std::string &Host : Peers.hostsRankedFor(Duty)) {
-    if (Host == Self)
-      return quota_role::Owner;
-    if (Peers.isUsable(Host))
-      break;
-  }
-  return quota_role::StandIn;
+  const std::vector<std::string> Hosts = Peers.usableHostsFor(Duty);
+  const bool IsFirst = !Hosts.empty() && Hosts.front() == Self;
+  return IsFirst ? quota_role::Owner : quota_role::StandIn;
 }
 
 std::vector<std::string>
 quota_broker::candidatesOf(const std::string &Account) const {
-  std::vector<std::string> Hosts;
-  for (const std::string &Host : Peers.hostsRankedFor(quotaDutyOf(Account)))
-    if (Hosts.size() < MaxHostsAsked && Peers.isUsable(Host))
-      Hosts.push_back(Host);
+  std::vector<std::string> Hosts = Peers.usableHostsFor(quotaDutyOf(Account));
+  Hosts.resize(std::min(Hosts.size(), MaxHostsAsked));
   return Hosts;
 }
 
--- a/src/libs/entry_host/slot_broker.cpp
+++ b/src/libs/entry_host/slot_broker.cpp
@@ -121,13 +121,10 @@
 }
 
 allocator_role slot_broker::roleFor(const std::string &Pool) const {
-  for (const std::string &Host : Peers.hostsRankedFor(allocatorDuty(Pool))) {
-    if (Host == Self)
-      return allocator_role::Primary;
-    if (Peers.isUsable(Host))
-      break;
-  }
-  return allocator_role::StandIn;
+  const std::vector<std::string> Hosts =
+      Peers.usableHostsFor(allocatorDuty(Pool));
+  const bool IsFirst = !Hosts.empty() && Hosts.front() == Self;
+  return IsFirst ? allocator_role::Primary : allocator_role::StandIn;
 }
 
 void slot_broker::updateRole(slot_allocator &State, const std::string &Pool,
@@ -238,10 +235,9 @@
 // Returns the hosts to try in turn. The last one is always this host.
 std::vector<std::string>
 slot_broker::allocatorCandidates(const std::string &Pool) const {
-  std::vector<std::string> Allocators;
-  for (const std::string &Host : Peers.hostsRankedFor(allocatorDuty(Pool)))
-    if (Allocators.size() < MaxAllocatorsTried && Peers.isUsable(Host))
-      Allocators.push_back(Host);
+  std::vector<std::string> Allocators =
+      Peers.usableHostsFor(allocatorDuty(Pool));
+  Allocators.resize(std::min(Allocators.size(), MaxAllocatorsTried));
   Allocators.push_back(Self);
   return Allocators;
 }
--- a/tests/auto/entry_host/tst_quota_broker.cpp
+++ b/tests/auto/entry_host/tst_quota_broker.cpp
@@ -291,6 +291,47 @@
   CHECK(ByNewOwner >= 40);
 }
 
+// Guards against: an owner that leaves goes on granting to its own callers,
+// while the other hosts already have another owner.
+TEST_CASE("the quota holds while the owner leaves") {
+  quota_fleet Fleet({40, 20});
+  quota_host *Owner = Fleet.findOwner();
+  Owner->run([Owner] {
+    Owner->Peers.announceLeaving();
+    return 0;
+  });
+  Fleet.startLoad(3, milliseconds(20), 275);
+  std::this_thread::sleep_for(milliseconds(6000));
+  const timed_decisions Decisions = Fleet.stop();
+  CHECK(Decisions.size() == 3 * 3 * 275);
+  CHECK(mostInWindow(Decisions) <= Fleet.mostAllowed());
+  CHECK(countVerdict(Decisions, quota_verdict::Allowed) >= 200);
+  CHECK(std::ranges::none_of(Decisions, [&](const timed_decision &Each) {
+    return Each.Decision.Host == Owner->Name;
+  }));
+}
+
+// Guards against a leaving host that refuses what its accounts may use, because
+// no other host is there to decide.
+TEST_CASE("an owner that leaves last still decides") {
+  quota_fleet Fleet({40, 20});
+  quota_host *Owner = Fleet.findOwner();
+  for (const auto &Host : Fleet.Hosts)
+    if (Host.get() != Owner)
+      Owner->run([Owner, Other = Host->Name] {
+        Owner->Peers.markLeaving(Other);
+        return 0;
+      });
+  Owner->run([Owner] {
+    Owner->Peers.announceLeaving();
+    return 0;
+  });
+  Owner->startLoad(Fleet.Account, 1, milliseconds(100), 10);
+  std::this_thread::sleep_for(milliseconds(1500));
+  const timed_decisions Decisions = Fleet.stop();
+  CHECK(countVerdict(Decisions, quota_verdict::Allowed) == 10);
+}
+
 // Guards against hosts that wait for one that never answers, or that grant
 // without a limit then.
 TEST_CASE("the quota holds with an owner that does not answer") {
