Accounts: Grant a burst that is lowered and raised again only once

Found by reading, while looking for how an account could pass its limit: the owner's decisions gave 310 requests in 5 s of 185 to an account whose burst changed between 20 and 100 each second.

Cause: a raised burst added the difference to the burst before it, though its tokens may have been used before it was lowered.

Change: a bucket remembers for a window the highest lowered burst and the unused tokens that lowering took away. A raise gives those back and adds only what is above the former burst.

--- a/src/libs/accounts/quota_bucket.cpp
+++ b/src/libs/accounts/quota_bucket.cpp
@@ -43,6 +43,33 @@
   Bucket.Credit = std::min(Bucket.Credit, Level - Bucket.Accrued);
 }
 
+void forgetLoweredBurst(quota_bucket &Bucket, duration Window) {
+  if (!Bucket.LoweredAt || Bucket.UpdatedAt - *Bucket.LoweredAt < Window)
+    return;
+  Bucket.LoweredAt.reset();
+  Bucket.FormerCapacity = 0;
+  Bucket.Dropped = 0;
+}
+
+void lowerCapacity(quota_bucket &Bucket, double Before, double After) {
+  const double Level = Bucket.Accrued + Bucket.Credit;
+  Bucket.Dropped += std::max(0.0, Level - After);
+  Bucket.FormerCapacity = std::max(Bucket.FormerCapacity, Before);
+  Bucket.LoweredAt = Bucket.UpdatedAt;
+  limitLevel(Bucket, After);
+}
+
+// The tokens of a burst that was in force in the last window were granted then,
+// unless they were taken away unused.
+void raiseCapacity(quota_bucket &Bucket, double Before, double After) {
+  const double Former = std::max(Before, Bucket.FormerCapacity);
+  const double Restored =
+      std::min(Bucket.Dropped, std::min(After, Former) - Before);
+  Bucket.Dropped -= Restored;
+  Bucket.Accrued += Restored + std::max(0.0, After - Former);
+  limitLevel(Bucket, After);
+}
+
 void renew(quota_bucket &Bucket, const quota_tolerance &Tolerance,
            time_point Since) {
   Bucket.Accrued = 0;
@@ -167,14 +194,18 @@
 }
 
 void updateQuota(quota_bucket &Bucket, const account_quota &Quota,
-                 std::uint64_t ConfigVersion) {
+                 std::uint64_t ConfigVersion, duration Window) {
   if (ConfigVersion <= Bucket.ConfigVersion)
     return;
-  const double Added = capacityOf(Quota) - capacityOf(Bucket.Quota);
+  forgetLoweredBurst(Bucket, Window);
+  const double Before = capacityOf(Bucket.Quota);
+  const double After = capacityOf(Quota);
   Bucket.Quota = Quota;
   Bucket.ConfigVersion = ConfigVersion;
-  Bucket.Accrued += std::max(0.0, Added);
-  limitLevel(Bucket, capacityOf(Quota));
+  if (After > Before)
+    raiseCapacity(Bucket, Before, After);
+  else if (After < Before)
+    lowerCapacity(Bucket, Before, After);
 }
 
 void limitToAccrualOf(quota_bucket &Bucket, duration Time) {
--- a/src/libs/accounts/quota_bucket.h
+++ b/src/libs/accounts/quota_bucket.h
@@ -84,6 +84,12 @@
   /// later time, so that they don't compete for one token.
   time_point LastReturn;
   time_point UsedAt;
+  /// When the burst was last lowered, if that is not a window ago.
+  std::optional<time_point> LoweredAt;
+  /// The highest burst that was lowered since then, as a number of tokens.
+  double FormerCapacity = 0;
+  /// Tokens that lower bursts took away since then.
+  double Dropped = 0;
   bool operator==(const quota_bucket &) const = default;
 };
 
@@ -100,10 +106,11 @@
                    const quota_tolerance &Tolerance, time_point Now);
 
 /// Replaces the quota if \p ConfigVersion is higher than the bucket's. A lower
-/// burst takes effect on the level at once; a higher one adds the difference.
+/// burst takes effect on the level at once. A higher one adds the difference to
+/// the highest burst of the last \p Window, and what was taken away since then.
 /// \pre \p Bucket is advanced to now.
 void updateQuota(quota_bucket &Bucket, const account_quota &Quota,
-                 std::uint64_t ConfigVersion);
+                 std::uint64_t ConfigVersion, duration Window);
 
 /// Limits the accrued tokens to those of the last \p Time, because another host
 /// granted tokens before.
--- a/src/libs/accounts/quota_owner.cpp
+++ b/src/libs/accounts/quota_owner.cpp
@@ -31,7 +31,8 @@
                                   State.Tolerance, Record.Since))
           .first->second;
   advanceBucket(Bucket, Record, State.Tolerance, Now);
-  updateQuota(Bucket, Request.Quota, Request.ConfigVersion);
+  updateQuota(Bucket, Request.Quota, Request.ConfigVersion,
+              State.Tolerance.Window);
   if (!isLimited(Bucket.Quota))
     return {Request.Count, duration::zero()};
   if (Request.GrantedElsewhere)
@@ -126,7 +127,7 @@
     return;
   if (Record != State.Ownerships.end() && !Record->second.LostAt)
     advanceBucket(Found->second, Record->second, State.Tolerance, Now);
-  updateQuota(Found->second, Quota, ConfigVersion);
+  updateQuota(Found->second, Quota, ConfigVersion, State.Tolerance.Window);
 }
 
 quota_grant decide(quota_owner &State, const std::string &Duty,
