--- a/tests/auto/accounts/tst_quota_owner.cpp
+++ b/tests/auto/accounts/tst_quota_owner.cpp
@@ -466,7 +466,7 @@
   for (int Step = 0; Step < 100; ++Step) {
     const time_point Now = Epoch + milliseconds(100 * Step);
     const account_quota Quota = Step / 10 % 2 == 0 ? High : Low;
-    const auto Version = static_cast<std::uint64_t>(1 + Step / 10);
+    const std::uint64_t Version = 1U + static_cast<unsigned>(Step) / 10;
     Grants.push_back(
         {Now, grantedBy(Owner, makeTokenRequest(200, Quota, Version), Now)});
   }
