--- a/tests/auto/http/tst_malformed_heads.cpp
+++ b/tests/auto/http/tst_malformed_heads.cpp
@@ -120,3 +120,23 @@
        })
     checkMalformed(OkLine + IdLine + Lines + "\r\n2\r\nok\r\n0\r\n\r\n");
 }
+
+// Guards against: a server that sends interim responses without end holds the
+// call up to its deadline.
+TEST_CASE("interim responses without end are malformed") {
+  std::string Bytes;
+  for (int Count = 0; Count < 100; ++Count)
+    Bytes += "HTTP/1.1 103 Early Hints\r\n\r\n";
+  checkMalformed(Bytes + OkLine + IdLine + LengthAndBody);
+}
+
+// Guards against: a trailer adds a field to the head, or replaces one.
+TEST_CASE("the trailers of a chunked body are dropped") {
+  const call_result Result =
+      callOnce(OkLine + IdLine + "Transfer-Encoding: chunked\r\n\r\n" +
+                   "2\r\nok\r\n0\r\nX-Late: 1\r\n\r\n",
+               false);
+  CHECK(Result.Status == call_status::Answered);
+  CHECK(Result.Response.Body == "ok");
+  CHECK_FALSE(findHeader(Result.Response.Headers, "X-Late"));
+}
