Tests: One call to a raw server, one way to let a host leave

The call of the tests on cut responses and on malformed heads stood twice, as did the steps that make a host announce its shutdown. No check changes; 12 and 16 cases pass.

--- a/tests/auto/entry_host/tst_quota_broker.cpp
+++ b/tests/auto/entry_host/tst_quota_broker.cpp
@@ -98,6 +98,13 @@
     });
   }
 
+  void announceLeaving() {
+    run([this] {
+      Peers.announceLeaving();
+      return 0;
+    });
+  }
+
   bool isOwnerOf(const std::string &Account) {
     return run([this, &Account] {
       const json::object Dump = Broker.dump();
@@ -311,10 +318,7 @@
 TEST_CASE("the quota holds while the owner leaves") {
   quota_fleet Fleet({40, 20});
   quota_host *Owner = Fleet.findOwner();
-  Owner->run([Owner] {
-    Owner->Peers.announceLeaving();
-    return 0;
-  });
+  Owner->announceLeaving();
   // The others have its notice by then.
   std::this_thread::sleep_for(milliseconds(200));
   Fleet.startLoad(3, milliseconds(20), 275);
@@ -334,10 +338,7 @@
 TEST_CASE("the quota holds after the owner left and started again") {
   quota_fleet Fleet({40, 20});
   quota_host *Leaving = Fleet.findOwner();
-  Leaving->run([Leaving] {
-    Leaving->Peers.announceLeaving();
-    return 0;
-  });
+  Leaving->announceLeaving();
   std::this_thread::sleep_for(milliseconds(200));
   const std::string Restarted = Leaving->Name;
   Fleet.restart(*Leaving);
@@ -364,10 +365,7 @@
         Owner->Peers.markLeaving(Other);
         return 0;
       });
-  Owner->run([Owner] {
-    Owner->Peers.announceLeaving();
-    return 0;
-  });
+  Owner->announceLeaving();
   Owner->startLoad(Fleet.Account, 1, milliseconds(100), 10);
   std::this_thread::sleep_for(milliseconds(1500));
   const timed_decisions Decisions = Fleet.stop();
--- a/tests/auto/http/tst_cut_responses.cpp
+++ b/tests/auto/http/tst_cut_responses.cpp
@@ -1,5 +1,4 @@
-#include "http/http_client.h"
-#include "raw_server.h"
+#include "one_call.h"
 
 #include <doctest/doctest.h>
 
@@ -37,31 +36,8 @@
                                            "Signature: 3e1b.07\r\n\r\n"
                                            "until the end";
 
-/// \returns the result of one call that \p Reply answers, with a request body
-/// of \p BodyBytes.
 call_result callOnce(const raw_reply &Reply, std::size_t BodyBytes = 0) {
-  asio::io_context Context;
-  raw_server Server(Context, ServerAddress,
-                    [&Reply](const raw_request &) { return Reply; });
-  http_client_limits Limits;
-  Limits.AcceptResponsesWithoutLength = true;
-  http_client Client(Context, Limits);
-  call_result Result;
-  asio::co_spawn(
-      Context,
-      [&]() -> asio::awaitable<void> {
-        http_request Request;
-        Request.Method = BodyBytes == 0 ? "GET" : "POST";
-        Request.Target = "/";
-        Request.Headers = {{std::string(header::RequestId), "mine"}};
-        Request.Body.assign(BodyBytes, 'x');
-        call_options Options;
-        Result = co_await Client.call(ServerAddress, Request, Options);
-        Context.stop();
-      },
-      asio::detached);
-  Context.run();
-  return Result;
+  return testing::callOnce(ServerAddress, Reply, true, BodyBytes);
 }
 
 // More than the buffers of a loopback connection take.
--- a/tests/auto/http/tst_malformed_heads.cpp
+++ b/tests/auto/http/tst_malformed_heads.cpp
@@ -1,5 +1,4 @@
-#include "http/http_client.h"
-#include "raw_server.h"
+#include "one_call.h"
 
 #include <doctest/doctest.h>
 
@@ -19,31 +18,10 @@
 const std::string IdLine = "X-Request-Id: mine\r\n";
 const std::string LengthAndBody = "Content-Length: 2\r\n\r\nok";
 
-/// \returns the result of a call that a server answers with \p Bytes before it
-/// closes the connection.
+// The server closes the connection after \p Bytes.
 call_result callOnce(const std::string &Bytes, bool AcceptWithoutLength) {
-  asio::io_context Context;
-  raw_server Server(Context, ServerAddress, [&Bytes](const raw_request &) {
-    return raw_reply{Bytes, after_reply::Close};
-  });
-  http_client_limits Limits;
-  Limits.AcceptResponsesWithoutLength = AcceptWithoutLength;
-  http_client Client(Context, Limits);
-  call_result Result;
-  asio::co_spawn(
-      Context,
-      [&]() -> asio::awaitable<void> {
-        http_request Request;
-        Request.Method = "GET";
-        Request.Target = "/";
-        Request.Headers = {{std::string(header::RequestId), "mine"}};
-        call_options Options;
-        Result = co_await Client.call(ServerAddress, Request, Options);
-        Context.stop();
-      },
-      asio::detached);
-  Context.run();
-  return Result;
+  return testing::callOnce(ServerAddress, {Bytes, after_reply::Close},
+                           AcceptWithoutLength);
 }
 
 // The settings for backend servers, and for the store and other services.
