--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -118,10 +118,11 @@
     return message
 
 
-def encode(first, headers, body=b""):
+def encode(first, headers, body=b"", send_body=True):
     lines = [first] + [f"{name}: {value}" for name, value in headers.items()]
     lines.append(f"Content-Length: {len(body)}")
-    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
+    head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+    return head + body if send_body else head
 
 
 def reset(writer):
@@ -272,7 +273,8 @@
     """A sound backend server."""
 
     def __init__(self, fleet, name, service, address, slots=3, work_s=0.05,
-                 body=lambda request_id: request_id.encode() * 20):
+                 body=lambda request_id: request_id.encode() * 20, pieces=1,
+                 send_s=0.0):
         self.fleet = fleet
         self.name = name
         self.service = service
@@ -280,6 +282,9 @@
         self.slots = slots
         self.work_s = work_s
         self.body = body
+        # The answer is sent in pieces, evenly over this time, as it is made.
+        self.pieces = pieces
+        self.send_s = send_s
         self.born = int(time.time() * 1000)
         self.state = "ready"
         self.sequence = 0
@@ -292,6 +297,8 @@
         self.draining_at = None
         # (time, request id, host) of each request that was run.
         self.runs = []
+        # By request id, when its run ended with the whole answer sent.
+        self.ended = {}
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.address,
@@ -382,8 +389,22 @@
                 (self.name + request_id).encode()).hexdigest()[:24]
             writer.write(encode("HTTP/1.1 200 OK",
                                 {**self.headers(request_id),
-                                 "X-Response-Signature": mark}, body))
-            await writer.drain()
+                                 "X-Response-Signature": mark}, body,
+                                send_body=False))
+            size = -(-len(body) // self.pieces)
+            for at in range(0, len(body), size):
+                writer.write(body[at:at + size])
+                await writer.drain()
+                if at + size < len(body):
+                    await asyncio.sleep(self.send_s / (self.pieces - 1))
+                if writer.is_closing() or reader.at_eof():
+                    raise ConnectionError("the caller has closed")
+            self.ended[request_id] = time.monotonic()
+        except ConnectionError:
+            self.fleet.record.write(
+                f"{self.name} can't send its answer to {request_id}: the host "
+                "has closed the connection")
+            raise
         finally:
             self.running -= 1
             self.slot.release()
