--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -497,8 +497,8 @@
 
     async def add_backend(self, service, **options):
         number = len(self.backends) + 1
-        backend = Backend(self, f"i-{number:04x}", service,
-                          f"{self.network}.3.{number}", **options)
+        address = f"{self.network}.{3 + number // 250}.{number % 250 + 1}"
+        backend = Backend(self, f"i-{number:04x}", service, address, **options)
         self.backends.append(backend)
         await backend.start()
         return backend
