--- a/src/libs/entry_host/request_proxy.cpp
+++ b/src/libs/entry_host/request_proxy.cpp
@@ -1,5 +1,6 @@
 #include "entry_host/request_proxy.h"
 
+#include "entry_host/attempt.h"
 #include "entry_host/attempt_classification.h"
 #include "entry_host/caller_access.h"
 #include "utils/log.h"
@@ -36,26 +37,6 @@
 constexpr duration LeavingRetryAfter = milliseconds(50);
 constexpr std::string_view HostLeavingReason = "host-leaving";
 
-struct attempt {
-  retry_reason Repeat = retry_reason::None;
-  attempt_state State = attempt_state::InProgress;
-  slot_outcome Outcome = slot_outcome::NotUsed;
-  std::uint64_t SlotId = 0;
-  slot_answer Slot;
-  std::string Allocator;
-  bool CallStarted = false;
-  time_point CallStartedAt;
-  duration Elapsed{0};
-  call_status CallStatus = call_status::Cancelled;
-  std::optional<backend_report> Report;
-  http_response Response;
-  std::shared_ptr<slot_wait> Wait = std::make_shared<slot_wait>();
-  std::shared_ptr<call_canceller> Canceller =
-      std::make_shared<call_canceller>();
-};
-
-using attempt_pointer = std::shared_ptr<attempt>;
-
 // An account without a limit counts like one with a limit of one request per
 // second.
 double accountWeight(const account_quota &Quota) {
