HTTP client: Say which connection a call used and what was sent on it

Cause: the result of a call can't tell the hypotheses on a copied refusal apart. It doesn't say whether the connection had carried the same request before, whether responses were skipped on it, or how much of a request was written.

Change: call_result has a call_trace: the number of the connection, the requests before, whether one of the last 64 had the same id, the responses that were skipped, and the bytes written. Bytes are counted while the request is written, one write at a time as http::async_write does it, because its count comes only with the last write, after a call has failed.

--- a/src/libs/http/http_client.cpp
+++ b/src/libs/http/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "http/body_budget.h"
 #include "http/response_reader.h"
+#include "utils/hash.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -24,6 +25,7 @@
 namespace {
 
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t MaxRememberedIds = 64;
 
 struct connection {
   connection(asio::io_context &Context, const http_client_limits &Limits)
@@ -32,6 +34,11 @@
   beast::flat_buffer Buffer;
   time_point IdleSince;
   duration ServerIdleLimit = duration::max();
+  /// Set once the connection is established.
+  std::uint64_t Number = 0;
+  std::uint64_t RequestCount = 0;
+  /// The hashes of the last MaxRememberedIds request ids that were sent.
+  std::deque<std::uint64_t> SentIds;
 };
 
 using connection_pointer = std::shared_ptr<connection>;
@@ -119,27 +126,71 @@
 // a server may respond before it has read the whole request.
 struct outgoing_request {
   explicit outgoing_request(http::request<http::string_body> Message)
-      : Message(std::move(Message)) {}
+      : Message(std::move(Message)), Serializer(this->Message) {}
   http::request<http::string_body> Message;
+  http::request_serializer<http::string_body> Serializer;
   bool Done = false;
   beast::error_code Failure;
+  /// Counts the bytes while they are written.
   std::size_t Written = 0;
 };
 
-std::shared_ptr<outgoing_request>
-startWriting(const connection_pointer &Connection,
-             http::request<http::string_body> Message) {
-  auto Outgoing = std::make_shared<outgoing_request>(std::move(Message));
-  http::async_write(
-      Connection->Stream, Outgoing->Message,
+using outgoing_pointer = std::shared_ptr<outgoing_request>;
+
+void writeRest(const connection_pointer &Connection,
+               const outgoing_pointer &Outgoing) {
+  http::async_write_some(
+      Connection->Stream, Outgoing->Serializer,
       [Connection, Outgoing](beast::error_code Failure, std::size_t Written) {
-        Outgoing->Done = true;
         Outgoing->Failure = Failure;
-        Outgoing->Written = Written;
+        Outgoing->Written += Written;
+        Outgoing->Done = Failure || Outgoing->Serializer.is_done();
+        if (!Outgoing->Done)
+          writeRest(Connection, Outgoing);
       });
+}
+
+outgoing_pointer startWriting(const connection_pointer &Connection,
+                              http::request<http::string_body> Message) {
+  auto Outgoing = std::make_shared<outgoing_request>(std::move(Message));
+  writeRest(Connection, Outgoing);
   return Outgoing;
 }
 
+// Counts a request with the id \p Id, if any, as sent on \p Connection.
+// \returns the trace of its call so far.
+call_trace recordRequest(connection &Connection,
+                         const std::optional<std::string> &Id) {
+  call_trace Trace;
+  Trace.Connection = Connection.Number;
+  Trace.RequestsBefore = Connection.RequestCount++;
+  if (!Id)
+    return Trace;
+  std::deque<std::uint64_t> &SentIds = Connection.SentIds;
+  const std::uint64_t Hash = stableHash(*Id);
+  Trace.IdSentBefore = std::ranges::find(SentIds, Hash) != SentIds.end();
+  SentIds.push_back(Hash);
+  if (SentIds.size() > MaxRememberedIds)
+    SentIds.pop_front();
+  return Trace;
+}
+
+// The status of a call after \p Read, with \p ResponsesSkipped before it.
+call_status statusAfterReadFailure(const response_failure &Read,
+                                   const outgoing_request &Outgoing,
+                                   std::uint32_t ResponsesSkipped) {
+  if (Outgoing.Done && Outgoing.Failure && Outgoing.Written == 0)
+    return call_status::NotSent;
+  const call_status Status = statusOfReadFailure(Read);
+  const bool TimedOut = Status == call_status::TimedOut;
+  return ResponsesSkipped > 0 && !TimedOut ? call_status::Malformed : Status;
+}
+
+void closeSocket(connection &Connection) {
+  boost::system::error_code Ignored;
+  Connection.Stream.socket().close(Ignored);
+}
+
 // Whether the end of the connection that was read is the server's regular end.
 // The system reports a reset once, to a read or to a write. After a write that
 // got it, a read sees a regular end.
@@ -188,6 +239,7 @@
   http_client_limits Limits;
   std::map<socket_address, std::deque<connection_pointer>> Idle;
   std::shared_ptr<body_budget> Budget;
+  std::uint64_t ConnectionCount = 0;
 
   connection_pointer takeIdle(const socket_address &Address,
                               duration MaxIdleAge, time_point Now) {
@@ -247,9 +299,8 @@
   }
   if (Canceller)
     Canceller->Close = [Weak = std::weak_ptr<connection>(Connection)] {
-      boost::system::error_code Ignored;
       if (const connection_pointer Open = Weak.lock())
-        Open->Stream.socket().close(Ignored);
+        closeSocket(*Open);
     };
   if (IsNew) {
     Connection->Stream.expires_at(
@@ -266,14 +317,15 @@
     boost::system::error_code Ignored;
     Connection->Stream.socket().set_option(asio::ip::tcp::no_delay(true),
                                            Ignored);
+    Connection->Number = ++Client->ConnectionCount;
   }
   Connection->Stream.expires_at(Deadline);
   const bool IsHead = Request.Method == "HEAD";
   const auto SentId =
       findHeader(Request.Headers, Client->Limits.RequestIdHeader);
-  const auto Outgoing =
+  Result.Trace = recordRequest(*Connection, SentId);
+  const outgoing_pointer Outgoing =
       startWriting(Connection, toMessage(std::move(Request), Address));
-  bool MismatchedResponse = false;
   received_response Received;
   // Limits the interim (1xx) and mismatched responses that are skipped.
   constexpr int MaxResponses = 8;
@@ -285,18 +337,13 @@
         co_await readResponse(Connection->Stream, Connection->Buffer,
                               ResponseLimits, Reservation);
     if (!Next) {
-      boost::system::error_code Ignored;
-      Connection->Stream.socket().close(Ignored);
-      const bool NotSent =
-          Outgoing->Done && Outgoing->Failure && Outgoing->Written == 0;
-      Result.Status = statusOfReadFailure(Next.error());
-      const bool TimedOut = Result.Status == call_status::TimedOut;
-      if (MismatchedResponse && !TimedOut)
-        Result.Status = call_status::Malformed;
-      if (NotSent)
-        Result.Status = call_status::NotSent;
-      if (WasCancelled())
-        Result.Status = call_status::Cancelled;
+      closeSocket(*Connection);
+      Result.Trace.BytesWritten = Outgoing->Written;
+      Result.Status =
+          WasCancelled()
+              ? call_status::Cancelled
+              : statusAfterReadFailure(Next.error(), *Outgoing,
+                                       Result.Trace.ResponsesSkipped);
       co_return Result;
     }
     Received = std::move(*Next);
@@ -307,7 +354,7 @@
         matchRequestId(SentId, Client->Limits, Received.Response);
     if (Match == request_id_match::Matches)
       break;
-    MismatchedResponse = true;
+    ++Result.Trace.ResponsesSkipped;
     Result.Status = call_status::Malformed;
     const bool MayFollow = Received.LengthKnown && Received.KeepAlive;
     if (Match == request_id_match::Missing || !MayFollow)
@@ -321,16 +368,15 @@
   if (Result.Status == call_status::Answered && !IsComplete)
     Result.Status = call_status::Truncated;
   const bool NoSurplusData =
-      Connection->Buffer.size() == 0 && !MismatchedResponse;
+      Connection->Buffer.size() == 0 && Result.Trace.ResponsesSkipped == 0;
   const bool Reusable = Result.Status == call_status::Answered &&
                         Received.KeepAlive && Received.LengthKnown &&
                         NoSurplusData && Outgoing->Done && !Outgoing->Failure;
   Connection->ServerIdleLimit = serverIdleLimit(Received.Response);
   Result.Response = std::move(Received.Response);
-  if (!Reusable) {
-    boost::system::error_code Ignored;
-    Connection->Stream.socket().close(Ignored);
-  }
+  Result.Trace.BytesWritten = Outgoing->Written;
+  if (!Reusable)
+    closeSocket(*Connection);
   if (Canceller)
     Canceller->Close = {};
   if (Reusable && !WasCancelled())
--- a/src/libs/http/http_client.h
+++ b/src/libs/http/http_client.h
@@ -10,6 +10,8 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <compare>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string_view>
@@ -40,10 +42,29 @@
 /// request.
 [[nodiscard]] bool provesNotRun(call_status Status);
 
+/// Which connection a call used, and what happened on it. All values are zero
+/// if the call ended before a connection was ready for its request.
+struct call_trace {
+  /// Counts the connections that the client established, from one.
+  std::uint64_t Connection = 0;
+  /// How many requests the connection had carried before this one.
+  std::uint64_t RequestsBefore = 0;
+  /// Whether one of the last 64 of them had the same request id.
+  bool IdSentBefore = false;
+  /// How many final responses on the connection were not accepted for this
+  /// request, because they had another request id or none.
+  std::uint32_t ResponsesSkipped = 0;
+  /// How many bytes of the request, head included, the system had taken when
+  /// the call ended.
+  std::uint64_t BytesWritten = 0;
+  auto operator<=>(const call_trace &) const = default;
+};
+
 struct call_result {
   call_status Status = call_status::ConnectFailed;
   /// The response, if Status is Answered.
   http_response Response;
+  call_trace Trace;
   bool operator==(const call_result &) const = default;
 };
 
