Entry host: Log what proves that a request was not run

Cause: a request-ended line said neither what proved that an attempt was not run, nor on which connection it was sent and what was sent there before. So a request that ran and got a status code that promises the opposite can't be traced to one of the hypotheses.

Change: each attempt has status, not_run_proof, connection, connection_requests_before, id_sent_before, responses_skipped and bytes_written. The state NotRun is derived from the same not_run_proof that is logged. Responses that were not for the request under way are logged as response-mismatched and counted in coriandertray_mismatched_responses_total, also by the proxy without the platform; calls count in coriandertray_backend_calls_total by new and reused connection.

Limit: an attempt that is still under way when its request ends is logged without a connection, as its call ends after the line.

Callers see nothing new.

--- a/src/apps/proxy/attempt.cpp
+++ b/src/apps/proxy/attempt.cpp
@@ -88,6 +88,9 @@
       Routed.Idempotent ? IdempotentMaxIdleAge : NonIdempotentMaxIdleAge;
   call_result Result = co_await Environment.Client.call(
       Address, std::move(Request), Options, Attempt->Canceller);
+  if (Result.Trace.ResponsesSkipped > 0)
+    Environment.Metrics.count("coriandertray_mismatched_responses_total", {},
+                              Result.Trace.ResponsesSkipped);
   const time_point Now = Environment.Clock.now();
   Attempt->Result = std::move(Result);
   Attempt->Outcome = classify(*Attempt->Result);
--- a/src/libs/entry_host/attempt.h
+++ b/src/libs/entry_host/attempt.h
@@ -32,6 +32,8 @@
   time_point CallStartedAt;
   duration Elapsed{0};
   call_status CallStatus = call_status::Cancelled;
+  call_trace Trace;
+  not_run_proof Proof = not_run_proof::None;
   std::optional<backend_report> Report;
   http_response Response;
   std::shared_ptr<slot_wait> Wait = std::make_shared<slot_wait>();
--- a/src/libs/entry_host/attempt_classification.cpp
+++ b/src/libs/entry_host/attempt_classification.cpp
@@ -34,15 +34,35 @@
   return {attempt_state::Failed, slot_outcome::Failed};
 }
 
+not_run_proof proofOfResponse(const http_response &Response,
+                              const header_names &Names) {
+  if (Response.Status == Misdirected)
+    return not_run_proof::Refused421;
+  if (!findHeader(Response.Headers, Names.NotRun))
+    return not_run_proof::None;
+  switch (Response.Status) {
+  case RequestTimeout:
+    return not_run_proof::Refused408;
+  case TooManyRequests:
+    return not_run_proof::Refused429;
+  case status::Unavailable:
+    return not_run_proof::Refused503;
+  default:
+    return not_run_proof::None;
+  }
+}
+
+slot_outcome outcomeOfNotRun(not_run_proof Proof) {
+  if (Proof == not_run_proof::ConnectFailed || Proof == not_run_proof::NotSent)
+    return slot_outcome::Unreachable;
+  return Proof == not_run_proof::Refused421 ? slot_outcome::Misdirected
+                                            : slot_outcome::Full;
+}
+
+// \pre \p Response doesn't prove that the request was not run.
 attempt_classification classifyResponse(const http_response &Response,
                                         const header_names &Names) {
   const unsigned Status = Response.Status;
-  const bool HasNotRunHeader =
-      findHeader(Response.Headers, Names.NotRun).has_value();
-  if (Status == Misdirected)
-    return {attempt_state::NotRun, slot_outcome::Misdirected};
-  if (HasNotRunHeader && impliesNotRun(Status))
-    return {attempt_state::NotRun, slot_outcome::Full};
   if (isSuccess(Status))
     return classifySuccess(Response.Headers, Names);
   // The request may have run, so the caller must not get a status that implies
@@ -75,10 +95,42 @@
 
 } // namespace
 
+std::string_view notRunProofName(not_run_proof Proof) {
+  switch (Proof) {
+  case not_run_proof::None:
+    return "";
+  case not_run_proof::ConnectFailed:
+    return "connect-failed";
+  case not_run_proof::NotSent:
+    return "not-sent";
+  case not_run_proof::Refused408:
+    return "refused-408";
+  case not_run_proof::Refused421:
+    return "refused-421";
+  case not_run_proof::Refused429:
+    return "refused-429";
+  case not_run_proof::Refused503:
+    return "refused-503";
+  }
+  return "unknown";
+}
+
+not_run_proof notRunProof(const call_result &Result,
+                          const header_names &Names) {
+  if (Result.Status == call_status::ConnectFailed)
+    return not_run_proof::ConnectFailed;
+  if (Result.Status == call_status::NotSent)
+    return not_run_proof::NotSent;
+  return Result.Status == call_status::Answered
+             ? proofOfResponse(Result.Response, Names)
+             : not_run_proof::None;
+}
+
 attempt_classification classifyCallResult(const call_result &Result,
                                           const header_names &Names) {
-  if (provesNotRun(Result.Status))
-    return {attempt_state::NotRun, slot_outcome::Unreachable};
+  const not_run_proof Proof = notRunProof(Result, Names);
+  if (Proof != not_run_proof::None)
+    return {attempt_state::NotRun, outcomeOfNotRun(Proof)};
   if (Result.Status == call_status::Answered)
     return classifyResponse(Result.Response, Names);
   const bool NoResponse = Result.Status == call_status::TimedOut ||
--- a/src/libs/entry_host/attempt_classification.h
+++ b/src/libs/entry_host/attempt_classification.h
@@ -11,6 +11,7 @@
 #include <compare>
 #include <cstdint>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 namespace coriandertray {
@@ -35,15 +36,34 @@
   SlotRefused,
 };
 
+/// What proves that the backend server did not run the request.
+enum class not_run_proof : std::uint8_t {
+  None,
+  ConnectFailed,
+  NotSent,
+  /// A response with this status and, but for 421, with the not-run header.
+  Refused408,
+  Refused421,
+  Refused429,
+  Refused503,
+};
+
+/// \returns the stable, kebab-case name of \p Proof, empty for None.
+[[nodiscard]] std::string_view notRunProofName(not_run_proof Proof);
+
+/// \returns what in \p Result proves that the request was not run. A 408, 429
+/// or 503 does so only with the not-run header; a 421 always does.
+[[nodiscard]] not_run_proof notRunProof(const call_result &Result,
+                                        const header_names &Names);
+
 struct attempt_classification {
   attempt_state State = attempt_state::Failed;
   slot_outcome Outcome = slot_outcome::Failed;
   auto operator<=>(const attempt_classification &) const = default;
 };
 
-/// \returns the classification of \p Result. A 2xx response is a success only
-/// with a signature. A 408, 429 or 503 proves that the request was not run only
-/// with the not-run header; a 421 always does.
+/// \returns the classification of \p Result: NotRun if there is a
+/// notRunProof(). A 2xx response is a success only with a signature.
 [[nodiscard]] attempt_classification
 classifyCallResult(const call_result &Result, const header_names &Names);
 
--- a/src/libs/entry_host/request_proxy.cpp
+++ b/src/libs/entry_host/request_proxy.cpp
@@ -2,6 +2,7 @@
 
 #include "entry_host/attempt.h"
 #include "entry_host/attempt_classification.h"
+#include "entry_host/attempt_log.h"
 #include "entry_host/caller_access.h"
 #include "utils/log.h"
 
@@ -323,8 +324,11 @@
     Attempt->State = Classification.State;
     Attempt->Outcome = Classification.Outcome;
     Attempt->CallStatus = Result.Status;
+    Attempt->Trace = Result.Trace;
+    Attempt->Proof = notRunProof(Result, Environment.Names);
     Attempt->Report = readReport(Result, Attempt->Slot.Backend);
     Attempt->Response = std::move(Result.Response);
+    recordCall(*Attempt, RequestId, Environment.Metrics);
     if (Attempt->State == attempt_state::Accepted)
       recordResponseBytes(Attempt->Response);
     if (Attempt->Outcome == slot_outcome::Unreachable)
@@ -426,26 +430,8 @@
 
   void logRequestEnd(const http_response &Response) {
     json::array AttemptEntries;
-    for (const attempt_pointer &Each : Attempts) {
-      const backend_report Report = Each->Report.value_or(backend_report());
-      AttemptEntries.push_back(
-          {{"backend_server", Each->Slot.Backend},
-           {"address", toString(Each->Slot.Address)},
-           {"allocator", Each->Allocator},
-           {"outcome", Each->Slot.Verdict == slot_verdict::Granted
-                           ? slotOutcomeName(Each->Outcome)
-                           : std::string_view(Each->Slot.Reason)},
-           {"call", callStatusName(Each->CallStatus)},
-           {"waited_ms",
-            Each->CallStarted
-                ? toMilliseconds(Each->CallStartedAt - Request.Start)
-                : 0.0},
-           {"ran_ms", toMilliseconds(Each->Elapsed)},
-           {"server_requests_per_s",
-            toJson(Report.Limit.value_or(rate_limit{}))},
-           {"server_leaving", Report.Leaving},
-           {"server_hold_off_ms", toMilliseconds(Report.HoldOff)}});
-    }
+    for (const attempt_pointer &Each : Attempts)
+      AttemptEntries.push_back(attemptEntry(*Each, Request.Start));
     const double Total = toMilliseconds(now() - Request.Start);
     logEvent(log_level::Info, "request-ended",
              {{"request_id", RequestId},
--- a/tests/auto/entry_host/tst_attempt_classification.cpp
+++ b/tests/auto/entry_host/tst_attempt_classification.cpp
@@ -62,6 +62,48 @@
       attempt_classification{attempt_state::NotRun, slot_outcome::Misdirected});
 }
 
+TEST_CASE("the proof that is logged is the one that the request counts as not "
+          "run for") {
+  const auto ProofName = [](const call_result &Result) {
+    const not_run_proof Proof = notRunProof(Result, TestNames);
+    const bool IsNotRun =
+        classifyCallResult(Result, TestNames).State == attempt_state::NotRun;
+    CHECK(IsNotRun == (Proof != not_run_proof::None));
+    return notRunProofName(Proof);
+  };
+  const auto ProofOf = [&ProofName](unsigned Status, bool HasNotRunHeader) {
+    call_result Result;
+    Result.Status = call_status::Answered;
+    Result.Response.Status = Status;
+    if (HasNotRunHeader)
+      setHeader(Result.Response.Headers, TestNames.NotRun, "1");
+    return ProofName(Result);
+  };
+  CHECK(ProofOf(408, true) == "refused-408");
+  CHECK(ProofOf(421, true) == "refused-421");
+  CHECK(ProofOf(421, false) == "refused-421");
+  CHECK(ProofOf(429, true) == "refused-429");
+  CHECK(ProofOf(503, true) == "refused-503");
+  for (const unsigned Status : {200U, 404U, 408U, 429U, 500U, 503U, 504U})
+    CHECK(ProofOf(Status, false).empty());
+  for (const unsigned Status : {200U, 404U, 500U, 504U})
+    CHECK(ProofOf(Status, true).empty());
+  call_result Unanswered;
+  // The status of a response that was not the server's for this request.
+  Unanswered.Response.Status = 421;
+  for (const call_status Status :
+       {call_status::Lost, call_status::Truncated, call_status::TimedOut,
+        call_status::Malformed, call_status::TooLarge,
+        call_status::Cancelled}) {
+    Unanswered.Status = Status;
+    CHECK(ProofName(Unanswered).empty());
+  }
+  Unanswered.Status = call_status::ConnectFailed;
+  CHECK(ProofName(Unanswered) == "connect-failed");
+  Unanswered.Status = call_status::NotSent;
+  CHECK(ProofName(Unanswered) == "not-sent");
+}
+
 TEST_CASE(
     "status 500 is a server error, a 404 is accepted as the final response") {
   CHECK(
