Tests: Move the fleet of raw servers to a header

Cause: tests of refusals that a server repeats need the same host with servers that reply with raw bytes as the tests of faulty responses.

--- a/tests/auto/entry_host/tst_faulty_responses.cpp
+++ b/tests/auto/entry_host/tst_faulty_responses.cpp
@@ -1,5 +1,4 @@
-#include "../http/raw_server.h"
-#include "fleet_fixture.h"
+#include "raw_fleet.h"
 
 #include <set>
 
@@ -11,74 +10,6 @@
 
 namespace {
 
-std::string headerIn(const std::string &Head, const std::string &Name) {
-  const std::size_t At = Head.find(Name + ": ");
-  if (At == std::string::npos)
-    return {};
-  const std::size_t Begin = At + Name.size() + 2;
-  return Head.substr(Begin, Head.find("\r\n", Begin) - Begin);
-}
-
-std::string idOf(const raw_request &Request) {
-  return headerIn(Request.Head, TestNames.RequestId);
-}
-
-std::string refusal(const std::string &Id) {
-  const std::string IdLine =
-      Id.empty() ? "" : TestNames.RequestId + ": " + Id + "\r\n";
-  return "HTTP/1.1 503 Service Unavailable\r\n" + IdLine + TestNames.NotRun +
-         ": 1\r\nContent-Length: 0\r\n\r\n";
-}
-
-std::string success(const std::string &Id) {
-  return "HTTP/1.1 200 OK\r\n" + TestNames.RequestId + ": " + Id + "\r\n" +
-         TestNames.Signature + ": s\r\nContent-Length: 5\r\n\r\nwhole";
-}
-
-/// A fleet of one host and two servers that reply with raw bytes.
-class raw_fleet {
-public:
-  explicit raw_fleet(raw_server::script Script) : Script(std::move(Script)) {
-    for (const char *Name : {"server-0", "server-1"})
-      addServer(Name);
-  }
-
-  /// Sends requests one after the other that may not be repeated. \returns the
-  /// response to each.
-  std::vector<std::string> book(int Count) {
-    std::vector<std::string> Responses;
-    Fleet.run([&]() -> asio::awaitable<void> {
-      for (int Number = 0; Number < Count; ++Number) {
-        const std::string Id = "r" + std::to_string(Number);
-        std::string Response = co_await Fleet.sendAndReceive(
-            fleet_fixture::requestText("GET", "/book/x", Id));
-        Responses.push_back(std::move(Response));
-      }
-    });
-    return Responses;
-  }
-
-  /// How often the servers got each request, by its id.
-  std::map<std::string, int> Arrivals;
-
-private:
-  void addServer(const std::string &Name) {
-    const socket_address Address = {
-        "127.97.4." + std::to_string(1 + Servers.size()), 18'400};
-    Servers.push_back(std::make_unique<raw_server>(
-        Fleet.Context, Address, [this](const raw_request &Request) {
-          ++Arrivals[idOf(Request)];
-          return Script(Request);
-        }));
-    Fleet.Platform.Backends.push_back(
-        {Name, "one", Address, "a", 2, false, milliseconds(0), 1});
-  }
-
-  raw_server::script Script;
-  fleet_fixture Fleet;
-  std::vector<std::unique_ptr<raw_server>> Servers;
-};
-
 /// Refuses the first request on each connection, and answers the later ones
 /// with that refusal once more, as \p Repeat makes it from the ids of both.
 raw_server::script repeatRefusal(
