Tests: A copied refusal of the same request, red

A server is listed under its old and its new name at one address. A request that was refused under one name is sent under the other one on the same connection; the copy of the refusal bears its id and is taken for the answer.

The server sends copies only if the second sending comes on the connection of the first one. - tst_connection_ids, on the HTTP client: two calls with the same id, and calls without an id, share a connection.

--- a/tests/auto/http/raw_server.h
+++ b/tests/auto/http/raw_server.h
@@ -34,6 +34,8 @@
   after_reply Then = after_reply::Keep;
   /// The time between the bytes and what follows.
   std::chrono::milliseconds Pause{0};
+  /// Sent after the pause, before the next request is read.
+  std::string Late;
 };
 
 /// A request. The server doesn't read its body before the reply.
@@ -82,12 +84,14 @@
       Received.erase(0, Length);
       const raw_reply Reply = Script(Request);
       co_await asio::async_write(Socket, asio::buffer(Reply.Bytes), UseTuple);
-      if (Reply.Then == after_reply::Keep)
-        continue;
       if (Reply.Pause.count() > 0) {
         asio::steady_timer Timer(Acceptor.get_executor(), Reply.Pause);
         co_await Timer.async_wait(UseTuple);
       }
+      if (!Reply.Late.empty())
+        co_await asio::async_write(Socket, asio::buffer(Reply.Late), UseTuple);
+      if (Reply.Then == after_reply::Keep)
+        continue;
       if (Reply.Then == after_reply::ReadOn) {
         Socket.shutdown(asio::socket_base::shutdown_send);
         co_await discardRest(Socket);
--- /dev/null
+++ b/tests/auto/http/tst_connection_ids.cpp
@@ -0,0 +1,79 @@
+#include "http/http_client.h"
+#include "raw_server.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <doctest/doctest.h>
+
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+// Which calls share a connection. A late response on it is told from the one
+// that is due by the request id alone.
+
+using namespace coriandertray;
+using namespace coriandertray::testing;
+
+namespace {
+
+const socket_address ServerAddress = {"127.97.0.4", 18'096};
+
+/// Makes calls one after the other, each with the id in \p Ids or without one.
+/// \returns the connection of each call, counted from zero.
+std::vector<int>
+connectionsOf(const std::vector<std::optional<std::string>> &Ids) {
+  asio::io_context Context;
+  std::vector<int> Connections;
+  raw_server Server(
+      Context, ServerAddress, [&](const raw_request &Request) -> raw_reply {
+        Connections.push_back(Request.Connection);
+        const std::optional<std::string> &Id = Ids[Connections.size() - 1];
+        const std::string IdLine =
+            Id ? std::string(header::RequestId) + ": " + *Id + "\r\n" : "";
+        return {"HTTP/1.1 200 OK\r\n" + IdLine + "Content-Length: 0\r\n\r\n"};
+      });
+  http_client_limits Limits;
+  Limits.RequireRequestId = true;
+  http_client Client(Context, Limits);
+  asio::co_spawn(
+      Context,
+      [&]() -> asio::awaitable<void> {
+        for (const std::optional<std::string> &Id : Ids) {
+          http_request Request;
+          Request.Method = "GET";
+          Request.Target = "/";
+          if (Id)
+            Request.Headers = {{std::string(header::RequestId), *Id}};
+          const call_options Options;
+          const call_result Result =
+              co_await Client.call(ServerAddress, std::move(Request), Options);
+          CHECK(Result.Status == call_status::Answered);
+        }
+        Context.stop();
+      },
+      asio::detached);
+  Context.run();
+  REQUIRE(Connections.size() == Ids.size());
+  return Connections;
+}
+
+} // namespace
+
+TEST_CASE("two calls with the same id don't share a connection") {
+  const std::vector<int> Next = connectionsOf({"a", "a"});
+  CHECK(Next[0] != Next[1]);
+  const std::vector<int> Later = connectionsOf({"a", "b", "a"});
+  CHECK(Later[0] != Later[2]);
+}
+
+TEST_CASE("a call without an id has a connection of its own") {
+  const std::vector<int> Connections =
+      connectionsOf({"a", std::nullopt, std::nullopt, "b"});
+  CHECK(Connections[1] != Connections[0]);
+  CHECK(Connections[2] != Connections[0]);
+  CHECK(Connections[2] != Connections[1]);
+  CHECK(Connections[3] != Connections[1]);
+  CHECK(Connections[3] != Connections[2]);
+}
