HTTP client: A connection carries each request id once

What callers saw: 503 for a request that must not be repeated, though a server ran it (REFUSED); or a third server got it (TWICE).

Cause: a server may send a copy of a refusal later. It bears the id of the refused request, and was told from the answer that is due by that id alone. But a host sends a refused request again to the same address when that is listed under two names, as of a server that has just started again, and took for it the connection that was used last: the one with the refusal. Then the copy and the answer have the same id, and the copy was taken as the proof that the request was not run.

Ruled out: two names at one address get the same name twice (Tried excludes it); a refusal of another request or without an id (skipped or rejected before, tests of tst_faulty_responses).

Change: the pool gives a request no connection that has carried its id (carried_ids, connection_pool; moved out of http_client). A request without an id has a connection of its own where responses must have ids. The trace counts the connections that were avoided in place of the ids that were sent twice, which no longer happens.

--- a/scripts/lib/mutants.py
+++ b/scripts/lib/mutants.py
@@ -30,6 +30,7 @@
 JUDGE = "src/libs/outlier_detection/outlier_detector.cpp"
 FLOOR = "src/libs/balancing/capacity_floor.cpp"
 CLIENT = "src/libs/http/http_client.cpp"
+POOL = "src/libs/http/connection_pool.cpp"
 CLAIMS = "src/libs/claims/claim_shard.cpp"
 STATE = "src/libs/balancing/backend_state.cpp"
 HOST = "src/libs/entry_host/entry_host.cpp"
@@ -55,6 +56,9 @@
     Mutant("a response without an id is believed", [
         (HOST, "Limits.RequireRequestId = true;", ""),
     ], tests=["tst_entry_host"]),
+    Mutant("a connection carries a request twice", [
+        (POOL, "mayCarry(Connection.Carried, *Condition.RequestId)", "true"),
+    ], tests=["tst_connection_ids", "tst_repeated_refusals"]),
     Mutant("a host forgets that a server leaves", [
         (REPORT, "(!Known.Leaving && Now >= Known.HeldUntil)",
          "Now >= Known.HeldUntil"),
--- a/src/libs/entry_host/attempt_log.cpp
+++ b/src/libs/entry_host/attempt_log.cpp
@@ -16,7 +16,7 @@
 void addTrace(json::object &Entry, const call_trace &Trace) {
   Entry["connection"] = Trace.Connection;
   Entry["connection_requests_before"] = Trace.RequestsBefore;
-  Entry["id_sent_before"] = Trace.IdSentBefore;
+  Entry["connections_avoided"] = Trace.ConnectionsAvoided;
   Entry["responses_skipped"] = Trace.ResponsesSkipped;
   Entry["bytes_written"] = Trace.BytesWritten;
 }
--- a/src/libs/http/http_client.cpp
+++ b/src/libs/http/http_client.cpp
@@ -1,8 +1,8 @@
 #include "http/http_client.h"
 
 #include "http/body_budget.h"
+#include "http/connection_pool.h"
 #include "http/response_reader.h"
-#include "utils/hash.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -12,10 +12,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <deque>
-#include <map>
-
-#include <sys/socket.h>
 
 namespace coriandertray {
 
@@ -25,32 +21,6 @@
 namespace {
 
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
-constexpr std::size_t MaxRememberedIds = 64;
-
-struct connection {
-  connection(asio::io_context &Context, const http_client_limits &Limits)
-      : Stream(Context), Buffer(Limits.HeaderBytes + ReadBufferBytes) {}
-  beast::tcp_stream Stream;
-  beast::flat_buffer Buffer;
-  time_point IdleSince;
-  duration ServerIdleLimit = duration::max();
-  /// Set once the connection is established.
-  std::uint64_t Number = 0;
-  std::uint64_t RequestCount = 0;
-  /// The hashes of the last MaxRememberedIds request ids that were sent.
-  std::deque<std::uint64_t> SentIds;
-};
-
-using connection_pointer = std::shared_ptr<connection>;
-
-// Checks that an idle connection is still usable. Unread bytes on it belong to
-// no pending request, and at end of stream the next request would be lost.
-bool isOpenAndEmpty(connection &Connection) {
-  char Byte = 0;
-  const auto Count = ::recv(Connection.Stream.socket().native_handle(), &Byte,
-                            1, MSG_PEEK | MSG_DONTWAIT);
-  return Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
 
 http::request<http::string_body> toMessage(http_request Request,
                                            const socket_address &Address) {
@@ -158,21 +128,12 @@
 }
 
 // Counts a request with the id \p Id, if any, as sent on \p Connection.
-// \returns the trace of its call so far.
-call_trace recordRequest(connection &Connection,
-                         const std::optional<std::string> &Id) {
-  call_trace Trace;
+void recordRequest(client_connection &Connection,
+                   const std::optional<std::string> &Id, call_trace &Trace) {
   Trace.Connection = Connection.Number;
   Trace.RequestsBefore = Connection.RequestCount++;
-  if (!Id)
-    return Trace;
-  std::deque<std::uint64_t> &SentIds = Connection.SentIds;
-  const std::uint64_t Hash = stableHash(*Id);
-  Trace.IdSentBefore = std::ranges::find(SentIds, Hash) != SentIds.end();
-  SentIds.push_back(Hash);
-  if (SentIds.size() > MaxRememberedIds)
-    SentIds.pop_front();
-  return Trace;
+  if (Id)
+    addCarried(Connection.Carried, *Id);
 }
 
 // The status of a call after \p Read, with \p ResponsesSkipped before it.
@@ -186,7 +147,7 @@
   return ResponsesSkipped > 0 && !TimedOut ? call_status::Malformed : Status;
 }
 
-void closeSocket(connection &Connection) {
+void closeSocket(client_connection &Connection) {
   boost::system::error_code Ignored;
   Connection.Stream.socket().close(Ignored);
 }
@@ -237,41 +198,16 @@
 struct http_client::shared_state {
   asio::io_context &Context;
   http_client_limits Limits;
-  std::map<socket_address, std::deque<connection_pointer>> Idle;
+  connection_pool Pool;
   std::shared_ptr<body_budget> Budget;
   std::uint64_t ConnectionCount = 0;
-
-  connection_pointer takeIdle(const socket_address &Address,
-                              duration MaxIdleAge, time_point Now) {
-    std::deque<connection_pointer> &Pool = Idle[Address];
-    while (!Pool.empty()) {
-      // The most recently used connection is the least likely to be closed.
-      connection_pointer Connection = std::move(Pool.back());
-      Pool.pop_back();
-      const bool Fresh = Now - Connection->IdleSince <
-                         std::min(MaxIdleAge, Connection->ServerIdleLimit);
-      if (Fresh && isOpenAndEmpty(*Connection))
-        return Connection;
-    }
-    return {};
-  }
-
-  void returnToPool(const socket_address &Address,
-                    connection_pointer Connection) {
-    std::deque<connection_pointer> &Pool = Idle[Address];
-    Connection->IdleSince = std::chrono::steady_clock::now();
-    Connection->Stream.expires_never();
-    Pool.push_back(std::move(Connection));
-    if (Pool.size() > Limits.IdleConnectionsPerAddress)
-      Pool.pop_front();
-  }
 };
 
 http_client::http_client(asio::io_context &Context, http_client_limits Limits)
     : State(std::make_shared<shared_state>(
           shared_state{Context,
                        Limits,
-                       {},
+                       {Limits.IdleConnectionsPerAddress, {}},
                        std::make_shared<body_budget>(
                            body_budget{Limits.TotalBodyBytes, 0})})) {}
 
@@ -285,11 +221,19 @@
   const time_point Start = std::chrono::steady_clock::now();
   const time_point Deadline = Start + Options.Timeout;
   call_result Result;
-  connection_pointer Connection =
-      Client->takeIdle(Address, Options.MaxIdleAge, Start);
+  const std::optional<std::string> SentId =
+      findHeader(Request.Headers, Client->Limits.RequestIdHeader);
+  // Responses to a request without an id can't be told from others.
+  const bool MayShareConnection = SentId || !Client->Limits.RequireRequestId;
+  taken_connection Taken;
+  if (MayShareConnection)
+    Taken =
+        takeIdle(Client->Pool, Address, {Options.MaxIdleAge, SentId}, Start);
+  connection_pointer Connection = std::move(Taken.Connection);
   const bool IsNew = !Connection;
   if (IsNew)
-    Connection = std::make_shared<connection>(Client->Context, Client->Limits);
+    Connection = std::make_shared<client_connection>(
+        Client->Context, Client->Limits.HeaderBytes + ReadBufferBytes);
   const auto WasCancelled = [&Canceller] {
     return Canceller && Canceller->isCancelled();
   };
@@ -298,7 +242,7 @@
     co_return Result;
   }
   if (Canceller)
-    Canceller->Close = [Weak = std::weak_ptr<connection>(Connection)] {
+    Canceller->Close = [Weak = std::weak_ptr<client_connection>(Connection)] {
       if (const connection_pointer Open = Weak.lock())
         closeSocket(*Open);
     };
@@ -321,9 +265,8 @@
   }
   Connection->Stream.expires_at(Deadline);
   const bool IsHead = Request.Method == "HEAD";
-  const auto SentId =
-      findHeader(Request.Headers, Client->Limits.RequestIdHeader);
-  Result.Trace = recordRequest(*Connection, SentId);
+  Result.Trace.ConnectionsAvoided = Taken.Avoided;
+  recordRequest(*Connection, SentId, Result.Trace);
   const outgoing_pointer Outgoing =
       startWriting(Connection, toMessage(std::move(Request), Address));
   received_response Received;
@@ -371,7 +314,8 @@
       Connection->Buffer.size() == 0 && Result.Trace.ResponsesSkipped == 0;
   const bool Reusable = Result.Status == call_status::Answered &&
                         Received.KeepAlive && Received.LengthKnown &&
-                        NoSurplusData && Outgoing->Done && !Outgoing->Failure;
+                        NoSurplusData && MayShareConnection && Outgoing->Done &&
+                        !Outgoing->Failure;
   Connection->ServerIdleLimit = serverIdleLimit(Received.Response);
   Result.Response = std::move(Received.Response);
   Result.Trace.BytesWritten = Outgoing->Written;
@@ -380,12 +324,13 @@
   if (Canceller)
     Canceller->Close = {};
   if (Reusable && !WasCancelled())
-    Client->returnToPool(Address, std::move(Connection));
+    returnToPool(Client->Pool, Address, std::move(Connection),
+                 std::chrono::steady_clock::now());
   co_return Result;
 }
 
 void http_client::closeIdle(const socket_address &Address) {
-  State->Idle.erase(Address);
+  State->Pool.Idle.erase(Address);
 }
 
 std::uint64_t http_client::receivedBodyBytes() const {
@@ -394,8 +339,8 @@
 
 std::size_t http_client::idleConnectionCount() const {
   std::size_t Count = 0;
-  for (const auto &[Address, Pool] : State->Idle)
-    Count += Pool.size();
+  for (const auto &[Address, Connections] : State->Pool.Idle)
+    Count += Connections.size();
   return Count;
 }
 
--- a/src/libs/http/http_client.h
+++ b/src/libs/http/http_client.h
@@ -49,8 +49,9 @@
   std::uint64_t Connection = 0;
   /// How many requests the connection had carried before this one.
   std::uint64_t RequestsBefore = 0;
-  /// Whether one of the last 64 of them had the same request id.
-  bool IdSentBefore = false;
+  /// How many idle connections were not used because they had carried the same
+  /// request id.
+  std::uint32_t ConnectionsAvoided = 0;
   /// How many final responses on the connection were not accepted for this
   /// request, because they had another request id or none.
   std::uint32_t ResponsesSkipped = 0;
@@ -109,7 +110,10 @@
   bool operator==(const http_client_limits &) const = default;
 };
 
-/// Sends requests to servers by address over pooled connections. All members
+/// Sends requests to servers by address over pooled connections. A connection
+/// carries each request id once, and a request without an id, where responses
+/// must have one, gets a connection of its own: so a late response to an
+/// earlier request is never taken for the one that is due. All members
 /// must be called on the thread that runs the io_context, which must outlive
 /// the client.
 class http_client {
