Platform client: Require the id of the request in each response

Cause: a call to the object API had no id, so that on a kept connection the order alone told which call a response was for. A copy of the response to an earlier update that arrived where the next one was due counted as its response: an update of a shard of claims counted as stored although its version conflicted, so that a key could be claimed by two requests.

A response with another id is skipped; one without counts as no response, so that a shard is read again before its next update.

The interface is the project's own; the store of the users' platform is not concerned.

--- a/src/apps/fake_platform/main.cpp
+++ b/src/apps/fake_platform/main.cpp
@@ -44,6 +44,7 @@
     const bool IsAnswerLost = Faults.LoseAnswers && Request.Method == "PUT";
     if (IsAnswerLost || Faults.MuteClients.contains(Client))
       co_return closeConnection();
+    copyRequestId(Request, Response);
     co_return Response;
   }
 
--- a/src/libs/http/http_message.cpp
+++ b/src/libs/http/http_message.cpp
@@ -63,6 +63,11 @@
     removeHeader(Headers, Name);
 }
 
+void copyRequestId(const http_request &Request, http_response &Response) {
+  if (const auto Id = findHeader(Request.Headers, header::RequestId))
+    setHeader(Response.Headers, header::RequestId, *Id);
+}
+
 http_response jsonResponse(unsigned Status, std::string Body) {
   http_response Response;
   Response.Status = Status;
--- a/src/libs/http/http_message.h
+++ b/src/libs/http/http_message.h
@@ -88,6 +88,9 @@
 [[nodiscard]] bool equalIgnoringCase(std::string_view Left,
                                      std::string_view Right);
 
+/// Copies the request's id to \p Response, which shows what it answers.
+void copyRequestId(const http_request &Request, http_response &Response);
+
 /// \returns a response with the JSON text \p Body.
 [[nodiscard]] http_response jsonResponse(unsigned Status, std::string Body);
 
--- a/src/libs/platform/platform_client.cpp
+++ b/src/libs/platform/platform_client.cpp
@@ -77,11 +77,17 @@
   return Value->get_array();
 }
 
+http_client_limits clientLimits() {
+  http_client_limits Limits;
+  Limits.RequireRequestId = true;
+  return Limits;
+}
+
 } // namespace
 
 platform_client::platform_client(asio::io_context &Context,
                                  socket_address Address, std::string ClientName)
-    : Client(Context, {}), Address(std::move(Address)),
+    : Client(Context, clientLimits()), Address(std::move(Address)),
       ClientName(std::move(ClientName)) {}
 
 asio::awaitable<result<http_response>> platform_client::call(std::string Method,
@@ -92,7 +98,9 @@
   Request.Method = std::move(Method);
   Request.Target = std::move(Target);
   Request.Body = std::move(Body);
-  Request.Headers = {{std::string(ClientHeader), ClientName}};
+  Request.Headers = {
+      {std::string(ClientHeader), ClientName},
+      {std::string(header::RequestId), std::to_string(NextRequestId++)}};
   call_options Options;
   Options.Timeout = Timeout;
   call_result Result =
--- a/src/libs/platform/platform_client.h
+++ b/src/libs/platform/platform_client.h
@@ -43,8 +43,8 @@
 
 /// Calls the object API. All members must be called on the thread of the
 /// io_context. Every call fails with PlatformUnreachable if no response
-/// arrives in time or its status is a server error, and with AnswerMalformed if
-/// it can't be parsed.
+/// arrives in time, it has not the id of the request or its status is a server
+/// error, and with AnswerMalformed if it can't be parsed.
 class platform_client {
 public:
   /// \p ClientName identifies this process and is sent with every request.
@@ -83,6 +83,9 @@
   http_client Client;
   socket_address Address;
   std::string ClientName;
+  /// Different for each request, so that each response shows which request it
+  /// is for.
+  std::uint64_t NextRequestId = 1;
 };
 
 } // namespace coriandertray
