Tests: Random sequences of refusals and their copies

The three cases of tst_repeated_refusals fix where the copy comes; it may be a copy of any earlier refusal, before or after any later response, or late.

Two servers with two names each refuse, run and break off 25 requests that may not be repeated, for each of 12 seeds. No request that ran is refused, none runs twice, and a success on a connection that carried nothing before reaches the caller.

--- a/tests/auto/entry_host/tst_repeated_refusals.cpp
+++ b/tests/auto/entry_host/tst_repeated_refusals.cpp
@@ -1,8 +1,12 @@
 #include "raw_fleet.h"
 
+#include <algorithm>
 #include <array>
 #include <functional>
 #include <map>
+#include <random>
+#include <utility>
+#include <vector>
 
 // A server may send the copy of a refusal when the request that it refused is
 // under way again on the same connection: to the same address, under another
@@ -69,6 +73,68 @@
   return fleet_fixture::statusOf(Responses.front());
 }
 
+bool promisesNotRun(unsigned Status) {
+  constexpr std::array Promises = {408U, 421U, 429U, 503U};
+  return std::ranges::find(Promises, Status) != Promises.end();
+}
+
+/// Servers that refuse, run and break off requests at random, and that send
+/// copies of earlier refusals on the same connection before or after their
+/// response, or late.
+struct random_servers {
+  explicit random_servers(unsigned Seed) : Random(Seed) {}
+
+  struct history {
+    int Runs = 0;
+    /// Whether the last sending was the first request on its connection and got
+    /// a success.
+    bool Succeeded = false;
+  };
+  std::mt19937 Random;
+  /// The refusals on each connection of each server, by its address.
+  std::map<std::pair<std::string, int>, std::vector<std::string>> Refusals;
+  std::map<std::string, history> Requests;
+  int SentAgain = 0;
+
+  int draw(int Below) { return static_cast<int>(Random() % Below); }
+
+  /// \returns up to two copies of \p Earlier refusals.
+  std::string drawCopies(const std::vector<std::string> &Earlier) {
+    std::string Copies;
+    for (int Count = Earlier.empty() ? 0 : draw(3); Count > 0; --Count)
+      Copies += Earlier[Random() % Earlier.size()];
+    return Copies;
+  }
+
+  raw_reply operator()(const raw_request &Request) {
+    const std::string Id = idOf(Request);
+    const std::string Name = headerIn(Request.Head, TestNames.TargetBackend);
+    // Both names of a server begin with its letter.
+    std::vector<std::string> &Earlier =
+        Refusals[{Name.substr(0, 1), Request.Connection}];
+    SentAgain += Requests.contains(Id) ? 1 : 0;
+    history &History = Requests[Id];
+    const std::string Copies = drawCopies(Earlier);
+    constexpr int Cases = 10;
+    const int Case = draw(Cases);
+    const bool Refuses = Case < 6;
+    const bool Answers = Case < 9;
+    const auto Late = milliseconds(draw(2) * draw(20));
+    History.Runs += Refuses ? 0 : 1;
+    History.Succeeded = !Refuses && Answers && Request.Number == 0;
+    if (!Answers)
+      return {Copies, after_reply::Close};
+    std::string Response = success(Id);
+    if (Refuses) {
+      Response = refusal(Id, RefusalStatuses[draw(RefusalStatuses.size())]);
+      Earlier.push_back(Response);
+    }
+    const std::string Surplus = draw(4) == 0 ? drawCopies(Earlier) : "";
+    return {Copies + Response + Surplus, after_reply::Keep, Late,
+            Late.count() > 0 ? drawCopies(Earlier) : ""};
+  }
+};
+
 } // namespace
 
 TEST_CASE("a copied refusal before the answer to the second sending is not "
@@ -112,3 +178,34 @@
     CHECK((Answered == 502 || Answered == 504));
   }
 }
+
+TEST_CASE("no request that ran is refused or runs twice, whatever refusals are "
+          "copied") {
+  constexpr unsigned Seeds = 12;
+  constexpr int RequestsPerSeed = 25;
+  int SentAgain = 0;
+  for (unsigned Seed = 1; Seed <= Seeds; ++Seed) {
+    CAPTURE(Seed);
+    random_servers Servers(Seed);
+    raw_fleet Fleet(
+        [&](const raw_request &Request) { return Servers(Request); },
+        {{"a-before", "a-now"}, {"b-before", "b-now"}});
+    for (route_rule &Route : Fleet.Fleet.Platform.Config.Routes)
+      Route.MaxAttempts = 4;
+    const std::vector<std::string> Responses = Fleet.book(RequestsPerSeed);
+    SentAgain += Servers.SentAgain;
+    for (int Number = 0; Number < RequestsPerSeed; ++Number) {
+      const std::string Id = "r" + std::to_string(Number);
+      CAPTURE(Id);
+      const unsigned Status = fleet_fixture::statusOf(Responses[Number]);
+      CAPTURE(Status);
+      const random_servers::history &History = Servers.Requests[Id];
+      CHECK(History.Runs <= 1);
+      CHECK_FALSE((History.Runs > 0 && promisesNotRun(Status)));
+      if (History.Succeeded)
+        CHECK(Status == 200);
+    }
+  }
+  // Each seed makes some requests come a second time.
+  CHECK(SentAgain >= static_cast<int>(Seeds));
+}
