--- a/tests/auto/http/tst_connection_ids.cpp
+++ b/tests/auto/http/tst_connection_ids.cpp
@@ -77,3 +77,19 @@
   CHECK(Connections[3] != Connections[1]);
   CHECK(Connections[3] != Connections[2]);
 }
+
+TEST_CASE("calls with distinct ids share one connection") {
+  std::vector<std::optional<std::string>> Ids;
+  constexpr int Calls = 300;
+  for (int Number = 0; Number < Calls; ++Number)
+    Ids.push_back("id-" + std::to_string(Number));
+  const std::vector<int> Connections = connectionsOf(Ids);
+  CHECK(std::set<int>(Connections.begin(), Connections.end()).size() == 1);
+}
+
+TEST_CASE("a call with an id that came before leaves the other connections in "
+          "use") {
+  const std::vector<int> Connections = connectionsOf({"a", "b", "a", "c", "d"});
+  CHECK(Connections[1] == Connections[0]);
+  CHECK(Connections[4] == Connections[3]);
+}
