Tests: A request without an id on a connection in use

Cause: found while the ways to a false refusal were read. A response is told from a late one by the id of its request alone, and a request without an id takes any response on its connection for its own, also where servers must return the id.

Change: a test only, red before a request without an id had a connection of its own. A server that copies its earlier response, a refusal or a success, and then runs the request and breaks off.

--- a/tests/auto/entry_host/tst_repeated_refusals.cpp
+++ b/tests/auto/entry_host/tst_repeated_refusals.cpp
@@ -209,3 +209,35 @@
   // Each seed makes some requests come a second time.
   CHECK(SentAgain >= static_cast<int>(Seeds));
 }
+
+// Guards against: any response that is due to another request counts as the
+// answer to one that has no id.
+TEST_CASE("a copied response is not taken for the answer to a request without "
+          "an id") {
+  for (const bool Refused : {true, false}) {
+    CAPTURE(Refused);
+    std::string Copied;
+    raw_fleet Fleet(
+        [&](const raw_request &Request) -> raw_reply {
+          const std::string Id = idOf(Request);
+          if (!Id.empty()) {
+            Copied = Refused ? refusal(Id) : success(Id);
+            return {Copied};
+          }
+          // The server runs it and breaks off.
+          return {Request.Number > 0 ? Copied : "", after_reply::Close};
+        },
+        {{"server-0"}});
+    std::string WithoutId = fleet_fixture::requestText("GET", "/book/x", "");
+    const std::string IdLine = TestNames.RequestId + ": \r\n";
+    WithoutId.erase(WithoutId.find(IdLine), IdLine.size());
+    std::string Response;
+    Fleet.Fleet.run([&]() -> asio::awaitable<void> {
+      co_await Fleet.Fleet.sendAndReceive(
+          fleet_fixture::requestText("GET", "/book/x", "r0"));
+      Response = co_await Fleet.Fleet.sendAndReceive(WithoutId);
+    });
+    CHECK(Fleet.Arrivals[""] == 1);
+    CHECK(fleet_fixture::statusOf(Response) == 502);
+  }
+}
