Drain probe: Use a connection of its own for each probe

Cause: a probe bears no id, and the response to it neither, as servers without the project's headers are to work too. On a kept connection a copy of the response to an earlier probe was taken for the next one's, so that a server which had started again stayed out of rotation. The proxy also kept its probes' connections in the pool of its requests: a copy of a probe's response without an id counted there as the response to a request.

Change: each probe opens a connection and closes it. Probes go only to servers that drain or, without the agent, don't respond, once a second.

--- a/src/apps/agent/agent_server.cpp
+++ b/src/apps/agent/agent_server.cpp
@@ -66,7 +66,6 @@
     : Context(Context), Clock(Clock), Settings(std::move(Settings)),
       Members{selfRecord(this->Settings), {}, 0},
       Platform(Context, this->Settings.Platform, this->Settings.Host),
-      ProbeClient(Context, {}),
       Peers(
           Context, Clock, Members, Table, this->Settings.Seeds,
           [this](const versioned_entry &Entry) { handleEntry(Entry); },
@@ -188,7 +187,7 @@
     co_await Timer.async_wait(UseTuple);
     for (const auto &[Service, Server] : Detection.drainingServers(Manifest)) {
       const std::optional<bool> Draining =
-          co_await probeDraining(ProbeClient, Server.Address);
+          co_await probeDraining(Context, Server.Address);
       if (Draining)
         Detection.recordProbe(Service, Server.Name, *Draining);
     }
--- a/src/apps/agent/agent_server.h
+++ b/src/apps/agent/agent_server.h
@@ -11,7 +11,6 @@
 #include "peer_exchange.h"
 
 #include "exchange/versioned_table.h"
-#include "http/http_client.h"
 #include "http/http_server.h"
 #include "manifest/manifest.h"
 #include "manifest/manifest_split.h"
@@ -108,7 +107,6 @@
   /// The manifest in force, as JSON.
   std::string ManifestText;
   platform_client Platform;
-  http_client ProbeClient;
   peer_exchange Peers;
   config_watcher Watcher;
   outlier_detection_runner Detection;
--- a/src/apps/proxy/proxy_server.cpp
+++ b/src/apps/proxy/proxy_server.cpp
@@ -201,7 +201,7 @@
 proxy_server::probeBackend(std::shared_ptr<service_runtime> Runtime,
                            backend_server Server) {
   const std::optional<bool> IsDraining =
-      co_await probeDraining(Client, Server.Address);
+      co_await probeDraining(Context, Server.Address);
   const auto Index = backendIndex(*Runtime, 0, Server.Name);
   if (IsDraining && Index)
     recordDraining(Runtime->Backends[*Index], *IsDraining, Clock.now());
--- a/src/libs/http/drain_probe.cpp
+++ b/src/libs/http/drain_probe.cpp
@@ -1,5 +1,7 @@
 #include "http/drain_probe.h"
 
+#include "http/http_client.h"
+
 namespace coriandertray {
 
 namespace {
@@ -8,8 +10,9 @@
 
 } // namespace
 
-asio::awaitable<std::optional<bool>> probeDraining(http_client &Client,
+asio::awaitable<std::optional<bool>> probeDraining(asio::io_context &Context,
                                                    socket_address Address) {
+  http_client Client(Context, {.IdleConnectionsPerAddress = 0});
   http_request Probe;
   Probe.Method = "GET";
   Probe.Target = "/health";
