Proxy: Give claims of each process tokens of their own

Cause: the tokens of claims came from a generator seeded by the host's name and a fixed seed, so that a process which started again gave out the tokens of the one before, in the same order. A claim is granted again to its own token. A request with an idempotency key that was sent before the proxy was killed, and again as the same one in order after the start, was therefore run a second time although its claim was still stored.

Change: a token consists of the host, a random number of the process and a count.

--- a/src/apps/proxy/proxy_server.cpp
+++ b/src/apps/proxy/proxy_server.cpp
@@ -70,7 +70,8 @@
           [this](http_request Request, std::shared_ptr<peer_connection>) {
             return serveAdmin(std::move(Request));
           }),
-      Random(stableHash(this->Settings.Host, this->Settings.Seed)) {}
+      Random(stableHash(this->Settings.Host, this->Settings.Seed)),
+      ClaimTokens(makeClaimTokens(this->Settings.Host)) {}
 
 result<void> proxy_server::start() {
   const result<void> Admin = AdminServer.listen(Settings.Admin);
@@ -289,7 +290,7 @@
   const seconds Retention = Runtime->Config.KeyRetention;
   claim_change Change;
   Change.Key = std::move(Key);
-  Change.Token = Settings.Host + "-" + toHex(Random());
+  Change.Token = nextClaimToken(ClaimTokens);
   const duration Timeout =
       std::min<duration>(ClaimTimeout, Routed.Deadline - Clock.now());
   const claim_answer Answer =
--- a/src/apps/proxy/proxy_server.h
+++ b/src/apps/proxy/proxy_server.h
@@ -10,6 +10,7 @@
 
 #include "balancing/caller_limits.h"
 #include "balancing/route_table.h"
+#include "claims/claim_token.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "manifest/manifest.h"
@@ -116,6 +117,7 @@
   /// Verdicts that arrived before the configuration of their service.
   std::map<std::string, verdict_set, std::less<>> PendingVerdicts;
   std::mt19937_64 Random;
+  claim_token_source ClaimTokens;
   /// The number of live entry hosts in the fleet, at least 1.
   std::uint32_t LiveHosts = 1;
   bool Leaving = false;
