Soak: Restart servers at their address and copy their responses

The soak had servers that repeat a refusal, but no request went twice over one connection, so that a copy never had the id of the request that was due next.

Servers now start again under a new name at the same address, alone, by turns or all of a service at once, every 0.5 s to 3 s, while the entry of the old name stays until its heartbeats are missed. The new server answers 421 to the old name, or is full under both names. Servers send copies of their refusals (421, 429, 503) and of other responses: right behind, late, when the next request comes, before the answer to the next one or to a later one, several, cut in two, and as the last bytes of the connection; always between whole responses. These faults have generators of their own. A server that starts again stays in its zone.

The summary of a run counts the copies, those with the id of the request that is under way on their connection, the requests that come again over a connection on which they were refused, and the connections of servers per request. A REFUSED failure says whether there was such a copy.

--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -4,6 +4,7 @@
 import time
 
 import messages
+from copies import Copy, ResponseWriter
 from links import Link, split_address
 
 # Requests that run and wait at a server at a time.
@@ -42,6 +43,15 @@
         self.leaving = []
         # (time, request id, server, seconds) of each 503 with Retry-After.
         self.hold_offs = []
+        # Connections that servers accepted.
+        self.connections = 0
+        # Copies of responses that servers sent.
+        self.copies = 0
+        # The id of each copy of that request which was under way on its
+        # connection.
+        self.copied_under_way = []
+        # Requests that came over a connection on which they had been refused.
+        self.sent_again = 0
 
     def record_arrival(self, request, server, ran):
         self.arrivals.append((time.monotonic(), request.header("x-request-id"),
@@ -52,9 +62,11 @@
     """One incarnation of a backend server, behind its own link.
 
     `modes` holds the share of requests that each gray failure affects: slow,
-    hang, errors, reset, mute (no response), shed, hold (shed with Retry-After),
-    truncate, cut_head, extra (a second response) or repeat (the last refusal
-    once more, for a request that runs).
+    hang, errors, reset, mute (no response), shed, limit (429), full (shed,
+    whatever server the request names), hold (shed with Retry-After), truncate,
+    cut_head, extra (a second response) or repeat (the last refusal once more,
+    for a request that runs). `copies` says how responses are copied, if they
+    are.
     """
 
     def __init__(self, soak, name, service, zone, listen_address, link_address):
@@ -71,6 +83,7 @@
         self.running = 0
         self.queued = 0
         self.modes = {}
+        self.copies = None
         self.cut_from_store = False
         self.alive = False
         self.drain_acknowledged = None
@@ -129,26 +142,31 @@
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
+        log = self.soak.execution_log
+        log.connections += 1
+        responses = ResponseWriter(writer, log)
         last_refusal = None
         try:
             while self.alive:
                 request = await messages.read_message(reader)
                 if request is None:
                     break
-                self.soak.execution_log.received.append((request, self))
+                request_id = request.header("x-request-id")
+                log.received.append((request, self))
+                await responses.begin(request_id)
                 if last_refusal and self.draw_fault("repeat"):
-                    writer.write(last_refusal)
+                    await responses.send_copy(last_refusal)
                 refusal = self.refuse(request)
                 if refusal:
-                    writer.write(refusal)
-                    last_refusal = refusal
-                elif not await self.handle(request, reader, writer):
+                    await responses.send(refusal, self.copies, True)
+                    last_refusal = Copy(request_id, refusal)
+                elif not await self.handle(request, reader, responses):
                     break
         except (messages.MessageError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
             self.writers.discard(writer)
-            writer.close()
+            responses.close()
 
     def make_not_executed(self, request, status, hold_off_s=None):
         """A response that says that the request was not executed."""
@@ -168,6 +186,8 @@
         target = request.header("x-target-instance")
         if not request.header("x-request-id"):
             return self.make_not_executed(request, 400)
+        if self.draw_fault("full"):
+            return self.make_not_executed(request, 503)
         if target and target != self.name:
             return self.make_not_executed(request, 421)
         if self.draw_fault("hold"):
@@ -175,9 +195,11 @@
                 request, 503, self.soak.random.uniform(0.8, 3.0))
         if self.queued >= QUEUE_LIMIT or self.draw_fault("shed"):
             return self.make_not_executed(request, 503)
+        if self.draw_fault("limit"):
+            return self.make_not_executed(request, 429)
         return None
 
-    async def handle(self, request, reader, writer):
+    async def handle(self, request, reader, responses):
         """Runs a request; returns whether the connection stays open."""
         self.queued += 1
         try:
@@ -186,12 +208,12 @@
             self.queued -= 1
         self.running += 1
         try:
-            return await self.run(request, reader, writer)
+            return await self.run(request, reader, responses)
         finally:
             self.running -= 1
             self.slot.release()
 
-    async def run(self, request, reader, writer):
+    async def run(self, request, reader, responses):
         """Executes a request in a slot; returns as handle()."""
         request_id = request.header("x-request-id")
         self.soak.execution_log.record_arrival(request, self, True)
@@ -216,15 +238,17 @@
             await asyncio.sleep(5)
             return False
         if self.draw_fault("reset"):
-            messages.reset(writer)
+            messages.reset(responses.writer)
             return False
         if work_s >= deadline_s:
-            writer.write(self.make_signed_response(request_id, 504, b"late"))
+            await responses.send(self.make_signed_response(
+                request_id, 504, b"late"), self.copies)
             return True
         if self.draw_fault("errors"):
-            writer.write(self.make_signed_response(request_id, 500, b"error"))
+            await responses.send(self.make_signed_response(
+                request_id, 500, b"error"), self.copies)
             return True
-        return self.send_response(request_id, writer)
+        return await self.send_response(request_id, responses)
 
     async def work(self, seconds, reader):
         """Works for `seconds`; returns False early if the connection closes."""
@@ -243,7 +267,7 @@
             (status, signature(request_id, self.name), body))
         return messages.make_response(status, body, headers, framing)
 
-    def send_response(self, request_id, writer):
+    async def send_response(self, request_id, responses):
         body = expected_body(request_id, self.name)
         framing = self.soak.random.choice(
             ["length", "length", "length", "chunked", "close"])
@@ -251,17 +275,21 @@
         self.soak.execution_log.framings[request_id] = framing
         if self.draw_fault("cut_head"):
             head_bytes = data.index(b"\r\n\r\n")
-            writer.write(data[:self.soak.random.randrange(1, head_bytes)])
+            await responses.send_part(
+                data[:self.soak.random.randrange(1, head_bytes)])
             return False
         if self.draw_fault("truncate"):
             self.soak.execution_log.framings[request_id] += ", cut"
-            writer.write(data[:-max(1, len(data) // 3)])
+            await responses.send_part(data[:-max(1, len(data) // 3)])
             if framing == "close":
-                messages.reset(writer)
+                messages.reset(responses.writer)
             return False
-        writer.write(data)
         # After a response that the close of the connection ends, a second one
         # would be part of its body.
-        if framing != "close" and self.draw_fault("extra"):
-            writer.write(data)
-        return framing != "close"
+        if framing == "close":
+            await responses.send(data)
+            return False
+        await responses.send(data, self.copies)
+        if self.draw_fault("extra"):
+            await responses.send_copy(Copy(request_id, data))
+        return True
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -134,7 +134,9 @@
             self.fail("MIXED", f"{call.id}: no server gave {call.status}")
         if call.status in NOT_EXECUTED_STATUSES and executions and \
                 not call.retryable:
-            self.fail("REFUSED", f"{call.id}: {call.status}, but was executed")
+            copied = call.id in self.soak.execution_log.copied_under_way
+            self.fail("REFUSED", f"{call.id}: {call.status}, but was executed"
+                      f"{', a copy came meanwhile' * copied}")
 
     def check_executions(self, by_id, executions):
         """Checks what the servers executed against what the callers sent."""
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -5,9 +5,15 @@
 import time
 
 from checks import FAULT_FREE_LEAD_S
+from copies import CopySettings
 
 # How long the reader is cut off from the store while a server leaves.
 READER_CUT_S = 4.0
+# The shortest and the longest time between two starts of a server, or of the
+# next in turn.
+RESTART_PERIOD_S = (0.5, 3.0)
+# Why servers that copy responses refuse some requests.
+COPYING_MODES = ("shed", "limit", "full")
 
 
 class Faults:
@@ -34,7 +40,8 @@
         end = time.monotonic() + seconds
         tasks = [asyncio.ensure_future(each) for each in (
             self.run_misleading_servers(end), self.run_zone_restarts(end),
-            self.run_silent_departures(end), self.run_overload())]
+            self.run_silent_departures(end), self.run_restarted_servers(end, 1),
+            self.run_restarted_servers(end, 2), self.run_overload())]
         while time.monotonic() < end:
             fault = self.random.choice(self.kinds)
             duration_s = min(self.random.uniform(1, 6),
@@ -77,6 +84,71 @@
                 for each in modes:
                     backend.modes.pop(each, None)
 
+    async def run_restarted_servers(self, end, number):
+        """Servers start again under a new name at their address.
+
+        One alone, some by turns or many at once. The entry of the old name
+        stays until its heartbeats are missed. The new servers and some others
+        send copies of their responses; some of the new ones are full, whatever
+        name a request has for them. Draws from a generator of its own, so that
+        the other faults of a seed stay the same.
+        """
+        draw = random.Random(f"restarted servers {number} of {self.soak.seed}")
+        while time.monotonic() < end:
+            await asyncio.sleep(draw.uniform(0.2, 1.0))
+            ready = self.ready_backends()
+            service = draw.choice(self.soak.services)
+            of_service = [each for each in ready if each.service == service]
+            servers = draw.sample(of_service, draw.choice(
+                [min(1, len(of_service)), len(of_service)]))
+            period_s = draw.triangular(*RESTART_PERIOD_S, RESTART_PERIOD_S[0])
+            at_once = draw.random() < 0.5
+            self.soak.log(f"{len(servers)} servers of {service} restart each "
+                          f"{period_s:.1f} s{', at once' * at_once}")
+            others = [each for each in ready if each not in servers]
+            copying = [self.start_copies(draw, each)
+                       for each in draw.sample(others, len(others) // 4)]
+            turns = draw.randrange(1, 4) * (1 if at_once else len(servers))
+            for turn in range(turns):
+                if time.monotonic() >= end:
+                    break
+                servers = await asyncio.gather(*[
+                    self.restart_server(draw, each, at_once or
+                                        index == turn % len(servers))
+                    for index, each in enumerate(servers)])
+                await asyncio.sleep(period_s)
+            for each in copying + servers:
+                each.copies = None
+                for mode in COPYING_MODES:
+                    each.modes.pop(mode, None)
+
+    async def restart_server(self, draw, backend, is_due):
+        """Restarts a server that is due and not gone; returns the current one.
+
+        Each incarnation sends copies, and is full at times.
+        """
+        draw = random.Random(draw.random())
+        if not is_due or backend not in self.ready_backends():
+            return backend
+        self.record_backend_faults([backend], 3600)
+        backend.crash()
+        await asyncio.sleep(draw.uniform(0.0, 0.2))
+        successor = await self.soak.add_backend(backend.service, backend)
+        self.start_copies(draw, successor)
+        full = draw.choice([0.0, 0.4, 0.8])
+        if full:
+            successor.modes["full"] = full
+        return successor
+
+    def start_copies(self, draw, backend):
+        """Has a server copy some of its responses; returns it."""
+        draw = random.Random(draw.random())
+        backend.copies = CopySettings(draw, draw.uniform(0.3, 1.0),
+                                      draw.random() < 0.5)
+        backend.modes[draw.choice(COPYING_MODES)] = 0.3
+        self.record_backend_faults([backend], 6.0)
+        return backend
+
     async def run_zone_restarts(self, end):
         """Stops all hosts of a zone but one, so that their stops overlap.
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -81,19 +81,26 @@
                    for other, since, until in self.backend_faults)
 
     async def add_backend(self, service, predecessor=None):
-        """Starts a server, at the address of `predecessor` if there is one."""
+        """Starts a server, at the address of `predecessor` if there is one.
+
+        Returns it.
+        """
         index = self.backend_count
         self.backend_count += 1
         if predecessor:
             link_address = predecessor.address
         else:
             link_address = f"{self.ip(5, index)}:9000"
+        # A server that starts again stays in its zone.
+        zone = ZONES[index % len(ZONES)]
+        if predecessor and predecessor.service == service:
+            zone = predecessor.zone
         backend = Backend(self, f"i-{index:04d}", service,
-                          ZONES[index % len(ZONES)],
-                          f"{self.ip(4, index)}:9001", link_address)
+                          zone, f"{self.ip(4, index)}:9001", link_address)
         self.backends.append(backend)
         await backend.start()
         self.log(f"{backend.name} of {service} at {link_address}")
+        return backend
 
     def stop_after_drain(self, backend):
         """Stops a draining server later and removes it from the store."""
@@ -206,13 +213,18 @@
 
     def report(self):
         calls = self.callers.calls
+        log = self.execution_log
         statuses = {}
         for call in calls:
             key = str(call.status) if call.outcome == "answer" else call.outcome
             statuses[key] = statuses.get(key, 0) + 1
         self.summary.update(
             calls=len(calls), outcomes=dict(sorted(statuses.items())),
-            runs=len(self.execution_log.executions),
+            runs=len(log.executions), copies=log.copies,
+            copies_under_way=len(log.copied_under_way),
+            sent_again=log.sent_again,
+            connections_per_request=round(
+                log.connections / max(1, len(log.received)), 3),
             store_calls=self.store.calls,
             starts=sum(host.incarnation for host in self.hosts))
         for failure in self.checks.failures:
