Entry host: Send the request id on, whatever the caller's Connection lists

What callers saw: a request whose Connection header listed the id header reached the server without its id and got its 400.

Cause: the headers that Connection lists are removed before the request is sent.

Change: the id that was read is set on each sending, as the account is.

--- a/src/libs/entry_host/request_proxy.cpp
+++ b/src/libs/entry_host/request_proxy.cpp
@@ -298,7 +298,9 @@
               std::to_string(std::max<std::int64_t>(1, RemainingMs)));
     setHeader(Message.Headers, Environment.Names.TargetBackend,
               Attempt.Slot.Backend);
-    // Set last, as the caller may have listed the header in Connection.
+    // Set last, as the caller may have listed these headers in Connection.
+    if (!RequestId.empty())
+      setHeader(Message.Headers, Environment.Names.RequestId, RequestId);
     if (Request.Account)
       setHeader(Message.Headers, Environment.Names.Account,
                 Request.Account->Name);
--- a/tests/auto/entry_host/tst_request_proxy.cpp
+++ b/tests/auto/entry_host/tst_request_proxy.cpp
@@ -54,6 +54,24 @@
   });
 }
 
+// Guards against: the request loses its id on the way, so that its response
+// can't be told from others.
+TEST_CASE(
+    "the request id is sent on also if the caller lists it in Connection") {
+  fleet_fixture Fleet;
+  scripted_backend &Backend = Fleet.addBackend(respondSuccessfully);
+  Fleet.run([&]() -> asio::awaitable<void> {
+    std::string Request = post();
+    Request.insert(Request.find("\r\n") + 2,
+                   "Connection: " + TestNames.RequestId + "\r\n");
+    const std::string Response = co_await Fleet.sendAndReceive(Request);
+    CHECK(Fleet.statusOf(Response) == 200);
+    REQUIRE(Backend.Requests.size() == 1);
+    CHECK(findHeader(Backend.Requests.front().Headers, TestNames.RequestId) ==
+          "r1");
+  });
+}
+
 TEST_CASE("an unknown route gets a 404 while the configuration is current") {
   fleet_fixture Fleet;
   Fleet.run([&]() -> asio::awaitable<void> {
