Slots: Give each host that is asked for a slot an id of its own

Cause: a request that got no answer from the first allocator was sent to the next one under the same id. The end of the first one is not delivered if its link was dropped. If that host is alive and becomes the allocator again, it is told of the lease under the id for which it still has the request in its queue. Its late grant, which is returned, then ended the first lease with that id: the one in use, by order of the servers' names. The slot was granted again while its request ran, and a server refused a request beyond its slots (not run).

Change: a new id for each allocator asked.

Test: "each host that is asked for a slot gets an id of its own", red before (both ids equal), green after; tst_entry_host 52 and tst_fleet_retries 1 of 1 cases.

--- a/src/libs/entry_host/slot_broker.cpp
+++ b/src/libs/entry_host/slot_broker.cpp
@@ -245,12 +245,13 @@
 asio::awaitable<acquired_slot>
 slot_broker::acquireFrom(std::string Pool, slot_request Request,
                          std::shared_ptr<slot_wait> Wait) {
-  const std::uint64_t Id = NextId++;
-  Request.Key = {Self, Id};
   const auto Pending = std::make_shared<pending_slot>(Context);
-  PendingSlots[Id] = Pending;
   Wait->Wake = [Pending] { Pending->Wakeup.cancel(); };
   for (const std::string &Host : allocatorCandidates(Pool)) {
+    // An id of its own for each allocator: one that takes over gets the leases
+    // of another, and may still hold a request that it was sent before.
+    Request.Key = {Self, NextId++};
+    PendingSlots[Request.Key.Id] = Pending;
     Pending->Allocator = Host;
     Pending->Acknowledged = false;
     if (switchAllocator(Pool, Host)) {
@@ -262,6 +263,7 @@
     else
       Peers.send(Host, makeBody(toWire(Request, Pool, Clock.now())));
     co_await awaitAnswer(Request, Pending, Wait);
+    PendingSlots.erase(Request.Key.Id);
     if (Pending->Answer && isRefusal(*Pending->Answer, PoolUnknownReason))
       Pending->Answer.reset();
     const bool Over = Pending->Answer || Wait->GivenUp ||
@@ -271,19 +273,18 @@
     sendSlotEnd(Host, Pool, {Request.Key, slot_outcome::NotUsed, {}});
   }
   Wait->Wake = {};
-  PendingSlots.erase(Id);
   acquired_slot Slot;
   Slot.Allocator = Pending->Allocator;
   if (Pending->Answer) {
     Slot.Answer = *Pending->Answer;
     if (Slot.Answer.Verdict == slot_verdict::Granted)
-      HeldSlots[Id] = {Pool,
-                       Pending->Allocator,
-                       Slot.Answer.Backend,
-                       Slot.Answer.StartedAtUnixMs,
-                       Request.RequestClass,
-                       Clock.now(),
-                       Request.Deadline};
+      HeldSlots[Request.Key.Id] = {Pool,
+                                   Pending->Allocator,
+                                   Slot.Answer.Backend,
+                                   Slot.Answer.StartedAtUnixMs,
+                                   Request.RequestClass,
+                                   Clock.now(),
+                                   Request.Deadline};
     co_return Slot;
   }
   sendSlotEnd(Pending->Allocator, Pool,
