--- a/tests/auto/platform/tst_object_store.cpp
+++ b/tests/auto/platform/tst_object_store.cpp
@@ -1,3 +1,4 @@
+#include "auto/http/raw_server.h"
 #include "fake_object_store.h"
 #include "object_store.h"
 
@@ -207,3 +208,39 @@
   CHECK(Listed.error().Code == error_code::AnswerMalformed);
   CHECK(Pages < LastPage);
 }
+
+// Guards against: a copy of an earlier response, which bears nothing that tells
+// which call it is for, is read as the response to the next call.
+TEST_CASE("a response that the store sends twice answers no other call") {
+  asio::io_context Context;
+  manual_clock Clock;
+  int Calls = 0;
+  std::map<int, std::string> LastOnConnection;
+  raw_server Server(Context, StoreAddress, [&](const raw_request &Request) {
+    const std::string Name = "i-" + std::to_string(++Calls);
+    const json::object Item = {
+        {"metadata", json::object{{"name", Name}, {"revision", Calls}}},
+        {"specification", backendEntry()}};
+    const std::string Body = json::serialize(json::object{
+        {"items", json::array{Item}}, {"more", false}, {"as_of", Calls}});
+    const std::string Response =
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Body.size()) +
+        "\r\n\r\n" + Body;
+    std::string &Last = LastOnConnection[Request.Connection];
+    return raw_reply{std::exchange(Last, Response) + Response};
+  });
+  platform::object_store Store(Context, Clock, StoreAddress);
+  asio::co_spawn(
+      Context,
+      [&]() -> asio::awaitable<void> {
+        for (const char *Name : {"i-1", "i-2", "i-3"}) {
+          const auto Listed = co_await Store.readBackends();
+          REQUIRE(Listed);
+          REQUIRE(Listed->Servers.size() == 1);
+          CHECK(Listed->Servers.front().Name == Name);
+        }
+        Context.stop();
+      },
+      asio::detached);
+  Context.run();
+}
