--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -135,7 +135,7 @@
         await asyncio.sleep(draw.uniform(0.0, 0.2))
         successor = await self.soak.add_backend(backend.service, backend)
         self.start_copies(draw, successor)
-        full = draw.choice([0.0, 0.4, 0.8])
+        full = draw.choice([0.0, 0.3, 0.6])
         if full:
             successor.modes["full"] = full
         return successor
@@ -143,7 +143,7 @@
     def start_copies(self, draw, backend):
         """Has a server copy some of its responses; returns it."""
         draw = random.Random(draw.random())
-        backend.copies = CopySettings(draw, draw.uniform(0.3, 1.0),
+        backend.copies = CopySettings(draw, draw.uniform(0.5, 1.0),
                                       draw.random() < 0.5)
         backend.modes[draw.choice(COPYING_MODES)] = 0.3
         self.record_backend_faults([backend], 6.0)
