Stand-ins: Send a refusal once more before the next response

The fake backend server could send surplus bytes after a response, but not what was reported: an earlier refusal once more, where the response to the next request is due. Nor did its refusals return the request id, which docs/INTERFACES.md asks of servers.

repeat_refusal_share does this, and refusals return the id. The proof not-run/refusals-repeated uses it on all servers in an overload:

--- a/scripts/lib/prove.py
+++ b/scripts/lib/prove.py
@@ -253,6 +253,14 @@
     return not_run_outcome(finish())
 
 
+@proof("not-run", "refusals-repeated")
+def not_run_repeated(fleet):
+    finish = fleet.load("load", 350, 12, swing="0:0.5,3:5,8:0.5")
+    for name in fleet.controls:
+        fleet.set_server_faults(name, repeat_refusal_share=0.5)
+    return not_run_outcome(finish())
+
+
 def write_classes(fleet):
     return [c for c in workloads.load_classes(fleet.workload)
             if not c["idempotent"]]
--- a/src/apps/fake_backend_server/fake_server.cpp
+++ b/src/apps/fake_backend_server/fake_server.cpp
@@ -39,6 +39,12 @@
   return Limits;
 }
 
+// Says which request \p Response belongs to.
+void returnRequestId(const http_request &Request, http_response &Response) {
+  if (const auto Id = findHeader(Request.Headers, header::RequestId))
+    setHeader(Response.Headers, header::RequestId, *Id);
+}
+
 http_response rawResponse(std::string Bytes) {
   http_response Response;
   Response.RawBytes = std::move(Bytes);
@@ -57,6 +63,7 @@
   Faults.CloseShare = numberAt(Object, "close_share");
   Faults.SwapShare = numberAt(Object, "swap_share");
   Faults.SurplusShare = numberAt(Object, "surplus_share");
+  Faults.RepeatRefusalShare = numberAt(Object, "repeat_refusal_share");
   Faults.Freeze = boolAt(Object, "freeze");
   Faults.Draining = boolAt(Object, "draining");
   Faults.DrainRefuses = boolAt(Object, "drain_refuses");
@@ -153,11 +160,15 @@
   return Response;
 }
 
-http_response fake_server::makeRefusal(std::string_view Reason) const {
+http_response fake_server::makeRefusal(const http_request &Request,
+                                       std::string_view Reason) {
   http_response Response = jsonResponse(503, "{}");
   setHeader(Response.Headers, header::Outcome, outcome::NotRun);
   setHeader(Response.Headers, header::Reason, Reason);
+  returnRequestId(Request, Response);
   addStateHeaders(Response);
+  Response.IsRepeated =
+      areFaultsActive() && drawWithProbability(Faults.RepeatRefusalShare);
   return Response;
 }
 
@@ -204,17 +215,18 @@
   }
   if (Faults.DrainRefuses && Faults.Draining &&
       now() - DrainingSince > DrainRefusalDelay)
-    co_return makeRefusal("draining");
+    co_return makeRefusal(Request, "draining");
   if (Faults.Shed) {
     ++Refusals;
-    co_return makeRefusal("shed");
+    co_return makeRefusal(Request, "shed");
   }
   const admission Admission = co_await waitForSlot(Request, Peer);
   if (Admission == admission::PeerGone)
     co_return rawResponse("");
   if (Admission != admission::Run) {
     ++Refusals;
-    co_return makeRefusal(Admission == admission::Full ? "full" : "deadline");
+    co_return makeRefusal(Request,
+                          Admission == admission::Full ? "full" : "deadline");
   }
   ++Running;
   http_response Response = co_await execute(std::move(Request), Peer);
@@ -253,9 +265,7 @@
   Response.Headers = {{std::string(header::ContentType), "text/plain"}};
   setHeader(Response.Headers, ServiceMsHeader,
             std::to_string(toMilliseconds(Time)));
-  const auto Id = findHeader(Request.Headers, header::RequestId);
-  if (Id)
-    setHeader(Response.Headers, header::RequestId, *Id);
+  returnRequestId(Request, Response);
   Response.Body = workResponseBody(WorkId, Request.Target);
   co_return injectResponseFault(std::move(Response));
 }
--- a/src/apps/fake_backend_server/fake_server.h
+++ b/src/apps/fake_backend_server/fake_server.h
@@ -66,6 +66,8 @@
   double SwapShare = 0;
   /// Responses followed by a second, unsolicited one.
   double SurplusShare = 0;
+  /// Refusals that are sent once more before the next response.
+  double RepeatRefusalShare = 0;
   /// Requests never complete and are not even queued; health checks still work.
   bool Freeze = false;
   /// Responses announce a drain.
@@ -133,7 +135,8 @@
   [[nodiscard]] http_response makeHealthResponse() const;
   bool drawWithProbability(double Share);
   duration drawServiceTime();
-  http_response makeRefusal(std::string_view Reason) const;
+  http_response makeRefusal(const http_request &Request,
+                            std::string_view Reason);
   /// \returns \p Response, or a faulty one with the probabilities of the
   /// faults.
   http_response injectResponseFault(http_response Response);
--- a/src/libs/http/http_message.h
+++ b/src/libs/http/http_message.h
@@ -39,6 +39,9 @@
   /// If set, the server writes these bytes instead of the response and then
   /// closes the connection. Fake servers use this to send broken responses.
   std::optional<std::string> RawBytes;
+  /// Whether the server sends the response once more before the next response
+  /// of the connection. Fake servers use this.
+  bool IsRepeated = false;
   bool operator==(const http_response &) const = default;
 };
 
--- a/src/libs/http/http_server.cpp
+++ b/src/libs/http/http_server.cpp
@@ -13,6 +13,7 @@
 #include <boost/beast/http.hpp>
 
 #include <set>
+#include <utility>
 
 #include <sys/socket.h>
 
@@ -216,11 +217,13 @@
   std::shared_ptr<State> Server;
 };
 
-// Serves one request. \returns whether the connection can be reused.
+// Serves one request. Sends \p Repeated, if there is one, before the response
+// and replaces it. \returns whether the connection can be reused.
 template <typename State>
 asio::awaitable<bool> serveRequest(std::shared_ptr<State> Server,
                                    beast::tcp_stream &Stream,
-                                   beast::flat_buffer &Buffer) {
+                                   beast::flat_buffer &Buffer,
+                                   std::optional<http_response> &Repeated) {
   const bool HasRequest = co_await waitForRequest(Server, Stream, Buffer);
   if (!HasRequest)
     co_return false;
@@ -242,6 +245,11 @@
     co_return false;
   }
   const bool KeepAlive = Received->KeepAlive && !Server->Draining;
+  if (std::optional<http_response> Copy = std::exchange(Repeated, {}))
+    co_await writeResponse(Stream, std::move(*Copy), Received->Version, true,
+                           false);
+  if (Response.IsRepeated)
+    Repeated = Response;
   const beast::error_code Failure = co_await writeResponse(
       Stream, std::move(Response), Received->Version, KeepAlive, IsHead);
   co_return KeepAlive && !Failure;
@@ -259,9 +267,10 @@
     asio::steady_timer Delay(Server->Context, Server->Limits.AcceptDelay);
     co_await Delay.async_wait(UseTuple);
   }
+  std::optional<http_response> Repeated;
   bool Continue = true;
   while (Continue)
-    Continue = co_await serveRequest(Server, Stream, Buffer);
+    Continue = co_await serveRequest(Server, Stream, Buffer, Repeated);
   Server->Streams.erase(&Stream);
   Stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, Ignored);
 }
