--- a/scripts/lib/prove.py
+++ b/scripts/lib/prove.py
@@ -253,14 +253,25 @@
     return not_run_outcome(finish())
 
 
-@proof("not-run", "refusals-repeated")
-def not_run_repeated(fleet):
+def not_run_repeated(fleet, anonymous):
+    """All servers repeat refusals, those in `anonymous` without an id."""
     finish = fleet.load("load", 350, 12, swing="0:0.5,3:5,8:0.5")
     for name in fleet.controls:
-        fleet.set_server_faults(name, repeat_refusal_share=0.5)
+        fleet.set_server_faults(name, repeat_refusal_share=0.5,
+                                anonymous_refusals=name in anonymous)
     return not_run_outcome(finish())
 
 
+@proof("not-run", "refusals-repeated")
+def not_run_repeated_with_id(fleet):
+    return not_run_repeated(fleet, [])
+
+
+@proof("not-run", "refusals-without-id-repeated")
+def not_run_repeated_without_id(fleet):
+    return not_run_repeated(fleet, sorted(fleet.controls)[::2])
+
+
 def write_classes(fleet):
     return [c for c in workloads.load_classes(fleet.workload)
             if not c["idempotent"]]
--- a/src/apps/fake_backend_server/fake_server.cpp
+++ b/src/apps/fake_backend_server/fake_server.cpp
@@ -64,6 +64,7 @@
   Faults.SwapShare = numberAt(Object, "swap_share");
   Faults.SurplusShare = numberAt(Object, "surplus_share");
   Faults.RepeatRefusalShare = numberAt(Object, "repeat_refusal_share");
+  Faults.AnonymousRefusals = boolAt(Object, "anonymous_refusals");
   Faults.Freeze = boolAt(Object, "freeze");
   Faults.Draining = boolAt(Object, "draining");
   Faults.DrainRefuses = boolAt(Object, "drain_refuses");
@@ -165,7 +166,8 @@
   http_response Response = jsonResponse(503, "{}");
   setHeader(Response.Headers, header::Outcome, outcome::NotRun);
   setHeader(Response.Headers, header::Reason, Reason);
-  returnRequestId(Request, Response);
+  if (!(areFaultsActive() && Faults.AnonymousRefusals))
+    returnRequestId(Request, Response);
   addStateHeaders(Response);
   Response.IsRepeated =
       areFaultsActive() && drawWithProbability(Faults.RepeatRefusalShare);
--- a/src/apps/fake_backend_server/fake_server.h
+++ b/src/apps/fake_backend_server/fake_server.h
@@ -68,6 +68,8 @@
   double SurplusShare = 0;
   /// Refusals that are sent once more before the next response.
   double RepeatRefusalShare = 0;
+  /// Refusals don't return the id of their request.
+  bool AnonymousRefusals = false;
   /// Requests never complete and are not even queued; health checks still work.
   bool Freeze = false;
   /// Responses announce a drain.
