Slots: Leave an allocator when the link that it was asked on is lost

Cause: a request that waits for a slot looked at whether its allocator is usable, not at the link on which it had asked. A link that was lost and opened again between two looks (100 ms; a change of duties opens links at once) went unnoticed. The allocator behind the new link, if it had started again, knew nothing of the request, which waited until its deadline and was then refused with 503, whatever was free.

Change: the request keeps the link that it was sent on, asks the next host once that is closed, and takes an answer from that link only.

Test: "a request that waits at a replaced link is sent to another host", red before (3 of 3 runs: refused at the deadline), green after (3 of 3); tst_entry_host 52, tst_fleet_retries 1 and tst_graceful_stop 11 of 11 cases.

--- a/src/libs/entry_host/slot_broker.cpp
+++ b/src/libs/entry_host/slot_broker.cpp
@@ -222,7 +222,12 @@
       Peers.dropLink(Pending->Allocator);
       co_return;
     }
-    if (Pending->Allocator != Self && !Peers.isUsable(Pending->Allocator))
+    // A host that started again, behind a new link, knows nothing of the
+    // request.
+    const bool LinkIsLost = Pending->Link && !Pending->Link->isOpen();
+    const bool IsUsable =
+        Pending->Allocator == Self || Peers.isUsable(Pending->Allocator);
+    if (LinkIsLost || !IsUsable)
       co_return;
     const time_point Check = Pending->Acknowledged
                                  ? Now + AllocatorCheckInterval
@@ -253,6 +258,7 @@
     Request.Key = {Self, NextId++};
     PendingSlots[Request.Key.Id] = Pending;
     Pending->Allocator = Host;
+    Pending->Link = Peers.linkTo(Host);
     Pending->Acknowledged = false;
     if (switchAllocator(Pool, Host)) {
       Request.KnownReports = knownReportsFor(Pool);
--- a/src/libs/entry_host/slot_broker.h
+++ b/src/libs/entry_host/slot_broker.h
@@ -80,6 +80,8 @@
     explicit pending_slot(asio::io_context &Context) : Wakeup(Context) {}
     asio::steady_timer Wakeup;
     std::string Allocator;
+    /// The link to the allocator; null if it is this host's.
+    link_pointer Link;
     bool Acknowledged = false;
     std::optional<slot_answer> Answer;
   };
--- a/src/libs/entry_host/slot_broker_exchange.cpp
+++ b/src/libs/entry_host/slot_broker_exchange.cpp
@@ -41,8 +41,8 @@
     return;
   }
   const auto Found = PendingSlots.find(Value.id);
-  const bool Expected = Found != PendingSlots.end() &&
-                        Peers.linkTo(Found->second->Allocator) == Link;
+  const bool Expected =
+      Found != PendingSlots.end() && Found->second->Link == Link;
   if (!Expected) {
     // The answer is late: the request asked another allocator or stopped
     // waiting.
--- a/tests/auto/entry_host/tst_slot_broker.cpp
+++ b/tests/auto/entry_host/tst_slot_broker.cpp
@@ -132,3 +132,33 @@
   CHECK(Host.AskedIds[0] != Host.AskedIds[1]);
   CHECK(Slot.Answer.Key.Id == Host.AskedIds[1]);
 }
+
+// Guards against: a request waits until its deadline for a host that lost it
+// with its link, as the link was open again when it was looked at.
+TEST_CASE("a request that waits at a replaced link is sent to another host") {
+  asking_host Host;
+  bool LinkClosed = false;
+  Host.OnFirstRequest = [&](const link_pointer &Link, std::uint64_t Id) {
+    sendAnswer(Link, Id, wire::slot_verdict::Queued);
+    asio::co_spawn(
+        Host.Context,
+        [&, Link]() -> asio::awaitable<void> {
+          co_await pauseFor(milliseconds(20));
+          Link->close();
+          LinkClosed = true;
+        },
+        asio::detached);
+  };
+  const auto RelinkAtOnce = [&]() -> asio::awaitable<void> {
+    const auto IsOpen = [&Host](const std::string &Name) {
+      return Host.Peers.linkTo(Name)->isOpen();
+    };
+    while (!LinkClosed || (IsOpen("other-1") && IsOpen("other-2")))
+      co_await pauseFor(milliseconds(1));
+    // A change of duties opens missing links at once.
+    Host.Peers.setDuties("other", {"duty"});
+  };
+  const acquired_slot Slot = Host.acquire(RelinkAtOnce);
+  CHECK(Slot.Answer.Verdict == slot_verdict::Granted);
+  CHECK(Host.AskedIds.size() == 2);
+}
