Proxy: Keep connections only to servers that return request ids

Cause: a server need not return the id of a request, and the proxy accepted any response without one. On a kept connection a copy of an earlier refusal or success without an id counted as the response to the next request.

Change: connections are kept only to servers whose last response had the id of its request, and a response without one on them is malformed, so that the outcome is unknown. To other servers each request has a new connection, and there a refusal without an id proves what it says. This takes the place of the rule that a refusal without an id proves nothing: that refused what could be tried elsewhere. docs/INTERFACES.md says that the id belongs on every response; fake-backend-server returned it only for work that it ran and for refusals, and now does with errors and surplus responses.

Measured: "a copied refusal of a server that returns no ids refuses no other request" (tst_attributing_client), red with kept connections (503 instead of 200), green now; tst_http passes.

--- a/src/apps/fake_backend_server/fake_server.cpp
+++ b/src/apps/fake_backend_server/fake_server.cpp
@@ -39,12 +39,6 @@
   return Limits;
 }
 
-// Says which request \p Response belongs to.
-void returnRequestId(const http_request &Request, http_response &Response) {
-  if (const auto Id = findHeader(Request.Headers, header::RequestId))
-    setHeader(Response.Headers, header::RequestId, *Id);
-}
-
 http_response rawResponse(std::string Bytes) {
   http_response Response;
   Response.RawBytes = std::move(Bytes);
@@ -85,7 +79,7 @@
       Server(
           Context, serverLimits(this->Settings),
           [this](http_request Request, std::shared_ptr<peer_connection> Peer) {
-            return serve(std::move(Request), std::move(Peer));
+            return serveWithId(std::move(Request), std::move(Peer));
           }),
       Random(this->Settings.Seed ^ stableHash(this->Settings.Name)) {}
 
@@ -161,13 +155,10 @@
   return Response;
 }
 
-http_response fake_server::makeRefusal(const http_request &Request,
-                                       std::string_view Reason) {
+http_response fake_server::makeRefusal(std::string_view Reason) {
   http_response Response = jsonResponse(503, "{}");
   setHeader(Response.Headers, header::Outcome, outcome::NotRun);
   setHeader(Response.Headers, header::Reason, Reason);
-  if (!(areFaultsActive() && Faults.AnonymousRefusals))
-    returnRequestId(Request, Response);
   addStateHeaders(Response);
   Response.IsRepeated =
       areFaultsActive() && drawWithProbability(Faults.RepeatRefusalShare);
@@ -202,6 +193,20 @@
   co_return Admission;
 }
 
+// A response of another request has its id already.
+asio::awaitable<http_response>
+fake_server::serveWithId(http_request Request,
+                         std::shared_ptr<peer_connection> Peer) {
+  const auto Id = findHeader(Request.Headers, header::RequestId);
+  http_response Response = co_await serve(std::move(Request), std::move(Peer));
+  const bool IsAnonymous =
+      areFaultsActive() && Faults.AnonymousRefusals &&
+      findHeader(Response.Headers, header::Outcome).has_value();
+  if (Id && !IsAnonymous && !findHeader(Response.Headers, header::RequestId))
+    setHeader(Response.Headers, header::RequestId, *Id);
+  co_return Response;
+}
+
 asio::awaitable<http_response>
 fake_server::serve(http_request Request,
                    std::shared_ptr<peer_connection> Peer) {
@@ -217,18 +222,17 @@
   }
   if (Faults.DrainRefuses && Faults.Draining &&
       now() - DrainingSince > DrainRefusalDelay)
-    co_return makeRefusal(Request, "draining");
+    co_return makeRefusal("draining");
   if (Faults.Shed) {
     ++Refusals;
-    co_return makeRefusal(Request, "shed");
+    co_return makeRefusal("shed");
   }
   const admission Admission = co_await waitForSlot(Request, Peer);
   if (Admission == admission::PeerGone)
     co_return rawResponse("");
   if (Admission != admission::Run) {
     ++Refusals;
-    co_return makeRefusal(Request,
-                          Admission == admission::Full ? "full" : "deadline");
+    co_return makeRefusal(Admission == admission::Full ? "full" : "deadline");
   }
   ++Running;
   http_response Response = co_await execute(std::move(Request), Peer);
@@ -267,7 +271,8 @@
   Response.Headers = {{std::string(header::ContentType), "text/plain"}};
   setHeader(Response.Headers, ServiceMsHeader,
             std::to_string(toMilliseconds(Time)));
-  returnRequestId(Request, Response);
+  if (const auto Id = findHeader(Request.Headers, header::RequestId))
+    setHeader(Response.Headers, header::RequestId, *Id);
   Response.Body = workResponseBody(WorkId, Request.Target);
   co_return injectResponseFault(std::move(Response));
 }
@@ -276,6 +281,8 @@
   const std::string FullBody = Response.Body;
   const std::string StatusAndHeaders =
       "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(FullBody.size()) +
+      "\r\n" + std::string(header::RequestId) + ": " +
+      findHeader(Response.Headers, header::RequestId).value_or("none") +
       "\r\n\r\n";
   if (areFaultsActive()) {
     if (drawWithProbability(Faults.FailShare))
--- a/src/apps/fake_backend_server/fake_server.h
+++ b/src/apps/fake_backend_server/fake_server.h
@@ -120,6 +120,8 @@
 private:
   enum class admission { Run, Full, Expired, PeerGone };
 
+  asio::awaitable<http_response>
+  serveWithId(http_request Request, std::shared_ptr<peer_connection> Peer);
   asio::awaitable<http_response> serve(http_request Request,
                                        std::shared_ptr<peer_connection> Peer);
   asio::awaitable<http_response> execute(http_request Request,
@@ -137,8 +139,7 @@
   [[nodiscard]] http_response makeHealthResponse() const;
   bool drawWithProbability(double Share);
   duration drawServiceTime();
-  http_response makeRefusal(const http_request &Request,
-                            std::string_view Reason);
+  http_response makeRefusal(std::string_view Reason);
   /// \returns \p Response, or a faulty one with the probabilities of the
   /// faults.
   http_response injectResponseFault(http_response Response);
--- a/src/apps/proxy/attempt.cpp
+++ b/src/apps/proxy/attempt.cpp
@@ -19,13 +19,6 @@
   return Outcome && *Outcome == outcome::NotRun;
 }
 
-/// \returns whether \p Result is a refusal without an id, which may be a late
-/// copy of the refusal of another request. It proves nothing.
-bool isUnidentifiedRefusal(const call_result &Result) {
-  return Result.Status == call_status::Answered && isRefusal(Result.Response) &&
-         !findHeader(Result.Response.Headers, header::RequestId);
-}
-
 attempt_outcome classify(const call_result &Result) {
   if (Result.Status == call_status::ConnectFailed)
     return attempt_outcome::Unreachable;
@@ -98,8 +91,6 @@
   if (Result.Trace.ResponsesSkipped > 0)
     Environment.Metrics.count("coriandertray_mismatched_responses_total", {},
                               Result.Trace.ResponsesSkipped);
-  if (isUnidentifiedRefusal(Result))
-    Result.Status = call_status::Malformed;
   const time_point Now = Environment.Clock.now();
   Attempt->Result = std::move(Result);
   Attempt->Outcome = classify(*Attempt->Result);
--- a/src/apps/proxy/attempt.h
+++ b/src/apps/proxy/attempt.h
@@ -5,7 +5,7 @@
 
 #include "service_runtime.h"
 
-#include "http/http_client.h"
+#include "http/attributing_client.h"
 #include "metrics/metrics.h"
 #include "utils/clock.h"
 
@@ -24,7 +24,7 @@
 struct call_environment {
   asio::io_context &Context;
   const clock_source &Clock;
-  http_client &Client;
+  attributing_client &Client;
   metric_registry &Metrics;
 };
 
--- a/src/apps/proxy/backend_call.h
+++ b/src/apps/proxy/backend_call.h
@@ -6,7 +6,6 @@
 #include "attempt.h"
 #include "service_runtime.h"
 
-#include "http/http_client.h"
 #include "http/http_message.h"
 #include "metrics/metrics.h"
 #include "utils/clock.h"
--- a/src/apps/proxy/proxy_server.cpp
+++ b/src/apps/proxy/proxy_server.cpp
@@ -52,7 +52,7 @@
 proxy_server::proxy_server(asio::io_context &Context, const clock_source &Clock,
                            proxy_settings Settings)
     : Context(Context), Clock(Clock), Settings(std::move(Settings)),
-      Client(Context, {}), Environment{Context, Clock, Client, Metrics},
+      Client(Context), Environment{Context, Clock, Client, Metrics},
       Agent(Context, this->Settings.Agent, this->Settings.Host,
             this->Settings.Zone,
             {[this](std::uint64_t Version, manifest Next) {
--- a/src/apps/proxy/proxy_server.h
+++ b/src/apps/proxy/proxy_server.h
@@ -11,7 +11,7 @@
 #include "balancing/caller_limits.h"
 #include "balancing/route_table.h"
 #include "claims/claim_token.h"
-#include "http/http_client.h"
+#include "http/attributing_client.h"
 #include "http/http_server.h"
 #include "manifest/manifest.h"
 #include "metrics/metrics.h"
@@ -103,7 +103,7 @@
   asio::io_context &Context;
   const clock_source &Clock;
   proxy_settings Settings;
-  http_client Client;
+  attributing_client Client;
   metric_registry Metrics;
   call_environment Environment;
   agent_session Agent;
