HTTP client: A cut head isn't joined with the response behind it

What callers saw: 503 for a request that a server ran (REFUSED), or it ran at a second server too (TWICE). A cut 200 before a failure could become a success.

A server that breaks off a late copy in its head and then answers sends one head for the parser: the status line of the copy, with the answer's status line in its reason phrase or in a field's value, and the answer's id. The id of one response vouched for the status of another.

Change: a response whose reason phrase or a field's value holds a status line is refused as no response, so that the outcome is unknown. A field like Via, which names the protocol without a status, passes.

--- a/src/libs/http/response_reader.cpp
+++ b/src/libs/http/response_reader.cpp
@@ -112,8 +112,32 @@
   return Headers;
 }
 
+// Whether \p Text holds a status line, as where a head that was cut is followed
+// by the next response. The parser would take both for one head.
+bool containsStatusLine(std::string_view Text) {
+  constexpr std::string_view Begin = "HTTP/1.";
+  constexpr std::size_t CodeAt = Begin.size() + std::string_view("1 ").size();
+  constexpr std::size_t CodeDigits = 3;
+  for (std::size_t At = Text.find(Begin); At != std::string_view::npos;
+       At = Text.find(Begin, At + 1)) {
+    const std::string_view Code =
+        Text.substr(std::min(At + CodeAt, Text.size()), CodeDigits);
+    if (Code.size() == CodeDigits && std::ranges::all_of(Code, [](char Each) {
+          return Each >= '0' && Each <= '9';
+        }))
+      return true;
+  }
+  return false;
+}
+
 // Checks what the parser lets pass.
-beast::error_code checkHead(const http_response &Head) {
+beast::error_code checkHead(const http_response &Head,
+                            std::string_view Reason) {
+  if (containsStatusLine(Reason) ||
+      std::ranges::any_of(Head.Headers, [](const http_header &Each) {
+        return containsStatusLine(Each.Value);
+      }))
+    return http::error::bad_field;
   if (Head.Status < FirstStatus || Head.Status == SwitchingProtocols)
     return http::error::bad_status;
   if (!checkFraming(Head.Headers))
@@ -138,7 +162,8 @@
     // Before the body, as trailers are added to the parser's fields.
     Received.Response.Status = Parser.get().result_int();
     Received.Response.Headers = toHeaders(Parser.get().base());
-    Failure = checkHead(Received.Response);
+    const auto Reason = Parser.get().reason();
+    Failure = checkHead(Received.Response, {Reason.data(), Reason.size()});
   }
   if (!Failure)
     Failure = co_await readBody(Stream, Buffer, Parser, Reservation);
--- a/src/libs/http/response_reader.h
+++ b/src/libs/http/response_reader.h
@@ -46,7 +46,8 @@
 /// in \p Reservation. Trailers are dropped. Fails with an error of Beast's HTTP
 /// category if the server sent something else than a response: also a status
 /// that doesn't exist, a switch of protocols, a line that continues the one
-/// before it, or ambiguous framing. Not thread-safe.
+/// before it, the start of another response, or ambiguous framing. Not
+/// thread-safe.
 boost::asio::awaitable<tl::expected<received_response, response_failure>>
 readResponse(boost::beast::tcp_stream &Stream,
              boost::beast::flat_buffer &Buffer, const response_limits &Limits,
--- a/tests/auto/entry_host/tst_repeated_refusals.cpp
+++ b/tests/auto/entry_host/tst_repeated_refusals.cpp
@@ -5,6 +5,8 @@
 #include <functional>
 #include <map>
 #include <random>
+#include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -210,6 +212,40 @@
   CHECK(SentAgain >= static_cast<int>(Seeds));
 }
 
+// Guards against: a refusal that is cut in its head and the answer behind it
+// are read as one head, with the status of the one and the id of the other.
+TEST_CASE("a refusal that is cut before the answer refuses no other request") {
+  std::vector<std::string> Cut;
+  for (const unsigned Status : RefusalStatuses) {
+    std::string Whole = refusal("r0", Status);
+    Whole.insert(Whole.find("\r\n") + 2, TestNames.NotRun + ": 1\r\n");
+    for (std::size_t Length = 1; Length < Whole.size(); ++Length)
+      Cut.push_back(Whole.substr(0, Length));
+  }
+  std::size_t Sent = 0;
+  std::set<std::string> Ran;
+  raw_fleet Fleet(
+      [&](const raw_request &Request) -> raw_reply {
+        const std::string Id = idOf(Request);
+        if (Request.Number == 0)
+          return {success(Id)};
+        Ran.insert(Id);
+        return {Cut[Sent++ % Cut.size()] + success(Id), after_reply::Close};
+      },
+      {{"server-0"}});
+  const int Requests = 2 * static_cast<int>(Cut.size());
+  const std::vector<std::string> Responses = Fleet.book(Requests);
+  CHECK(Sent > 0);
+  for (int Number = 0; Number < Requests; ++Number) {
+    const std::string Id = "r" + std::to_string(Number);
+    const unsigned Status = fleet_fixture::statusOf(Responses[Number]);
+    CAPTURE(Id);
+    CAPTURE(Status);
+    CHECK(Fleet.Arrivals[Id] == 1);
+    CHECK_FALSE((Ran.contains(Id) && promisesNotRun(Status)));
+  }
+}
+
 // Guards against: any response that is due to another request counts as the
 // answer to one that has no id.
 TEST_CASE("a copied response is not taken for the answer to a request without "
