HTTP client: An empty request id counts as none

Cause: a request with an empty id header got the server's 400 as 502, as its answer has no id: the host required one that the server can't return, while the proxy of requests takes an empty id for none.

Change: an empty id is no id; such a request has a connection of its own.

Tests: "a call with an empty id is one without an id", red before.

--- a/src/libs/http/carried_ids.h
+++ b/src/libs/http/carried_ids.h
@@ -31,7 +31,7 @@
 /// true for it.
 void addCarried(carried_ids &Carried, std::string_view Id);
 
-/// \returns whether mayCarry() returns false for each id.
+/// \returns whether it holds MaxCarriedIds, so that no other may be added.
 [[nodiscard]] bool isFull(const carried_ids &Carried);
 
 } // namespace coriandertray
--- a/src/libs/http/http_client.cpp
+++ b/src/libs/http/http_client.cpp
@@ -65,6 +65,14 @@
   Missing,
 };
 
+// An empty id tells nothing, so it counts as none.
+std::optional<std::string> sentRequestId(const http_request &Request,
+                                         const http_client_limits &Limits) {
+  std::optional<std::string> Id =
+      findHeader(Request.Headers, Limits.RequestIdHeader);
+  return Id && !Id->empty() ? std::move(Id) : std::nullopt;
+}
+
 request_id_match matchRequestId(const std::optional<std::string> &SentId,
                                 const http_client_limits &Limits,
                                 const http_response &Response) {
@@ -222,7 +230,7 @@
   const time_point Deadline = Start + Options.Timeout;
   call_result Result;
   const std::optional<std::string> SentId =
-      findHeader(Request.Headers, Client->Limits.RequestIdHeader);
+      sentRequestId(Request, Client->Limits);
   // Responses to a request without an id can't be told from others.
   const bool MayShareConnection = SentId || !Client->Limits.RequireRequestId;
   taken_connection Taken;
--- a/tests/auto/http/tst_connection_ids.cpp
+++ b/tests/auto/http/tst_connection_ids.cpp
@@ -1,3 +1,4 @@
+#include "http/carried_ids.h"
 #include "http/http_client.h"
 #include "raw_server.h"
 
@@ -68,6 +69,33 @@
   CHECK(Later[0] != Later[2]);
 }
 
+TEST_CASE("a connection that has carried all that it may is closed") {
+  std::vector<std::optional<std::string>> Ids;
+  for (std::size_t Number = 0; Number <= MaxCarriedIds; ++Number)
+    Ids.emplace_back("id-" + std::to_string(Number));
+  const std::vector<int> Connections = connectionsOf(Ids);
+  CHECK(Connections[MaxCarriedIds - 1] == Connections[0]);
+  CHECK(Connections[MaxCarriedIds] != Connections[0]);
+}
+
+TEST_CASE("an id may be carried until it was, or until there are too many") {
+  carried_ids Carried;
+  CHECK(mayCarry(Carried, "a"));
+  addCarried(Carried, "a");
+  CHECK_FALSE(mayCarry(Carried, "a"));
+  CHECK(mayCarry(Carried, "b"));
+  while (!isFull(Carried))
+    addCarried(Carried, std::to_string(Carried.Hashes.size()));
+  CHECK(Carried.Hashes.size() == MaxCarriedIds);
+  CHECK_FALSE(mayCarry(Carried, "b"));
+}
+
+TEST_CASE("a call with an empty id is one without an id") {
+  const std::vector<int> Connections = connectionsOf({"a", "", "", "b"});
+  CHECK(std::set<int>(Connections.begin(), Connections.end()).size() == 3);
+  CHECK(Connections[0] == Connections[3]);
+}
+
 TEST_CASE("a call without an id has a connection of its own") {
   const std::vector<int> Connections =
       connectionsOf({"a", std::nullopt, std::nullopt, "b"});
