Stand-ins: Return the request id by the common function

The fake backend server repeated copyRequestId line for line. No change of what it sends; tst_http and the proofs that ran before use the same code.

--- a/src/apps/fake_backend_server/fake_server.cpp
+++ b/src/apps/fake_backend_server/fake_server.cpp
@@ -271,8 +271,7 @@
   Response.Headers = {{std::string(header::ContentType), "text/plain"}};
   setHeader(Response.Headers, ServiceMsHeader,
             std::to_string(toMilliseconds(Time)));
-  if (const auto Id = findHeader(Request.Headers, header::RequestId))
-    setHeader(Response.Headers, header::RequestId, *Id);
+  copyRequestId(Request, Response);
   Response.Body = workResponseBody(WorkId, Request.Target);
   co_return injectResponseFault(std::move(Response));
 }
